--- /dev/null
+++ b/stagevale/__init__.py
@@ -0,0 +1,3 @@
+"""stagevale: a global load balancer whose own daemons carry, know and agree."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/stagevale/balancing/__init__.py
@@ -0,0 +1,149 @@
+"""Balancing: which endpoint a job goes to, and whether it may go to any."""
+import zlib
+
+from stagevale.registrations import READY
+
+COLD_PROXIES = 2
+AREA_COST = 0.04
+REGION_COST = 0.45
+QUEUE_FACTOR = 2.0
+
+
+class Target:
+    """One life of an endpoint as this proxy uses it: what is told of it and what was learned by use."""
+
+    __slots__ = ("id", "service", "address", "area", "region", "slots", "state", "sound", "coldSeq", "coldUntilMs",
+                 "outstanding", "idle", "open", "speed", "others", "othersMs", "ejectUntilMs", "problems", "coldSent",
+                 "gone", "ripeMs")
+
+    def __init__(self, id, service, address, area, region, slots):
+        self.id = id
+        self.service = service
+        self.address = address
+        self.area = area
+        self.region = region
+        self.slots = max(1, slots)
+        self.state = READY
+        self.sound = True
+        self.coldSeq = 0
+        self.coldUntilMs = 0.0
+        self.outstanding = 0
+        self.idle = []
+        self.open = 0
+        self.speed = 1.0
+        self.others = 0.0
+        self.othersMs = 0.0
+        self.ejectUntilMs = 0.0
+        self.problems = 0
+        self.coldSent = []
+        self.gone = False
+        self.ripeMs = 0.0
+
+    def load(self, nowMs):
+        """Jobs thought to be at the endpoint now: this proxy's and, fading, what others had there."""
+        ageMs = nowMs - self.othersMs
+        return self.outstanding + (self.others * max(0.0, 1.0 - ageMs / 1500.0) if self.others else 0.0)
+
+    def told(self, running, waiting, nowMs):
+        """Takes in a `Server-Load`."""
+        self.others = max(0.0, running + waiting - self.outstanding)
+        self.othersMs = nowMs
+
+    def failed(self, nowMs, baseMs, warmupMs, outage):
+        """Notes passive evidence against the endpoint: it rests for a while, and may come back cold."""
+        self.problems += 1
+        if outage or self.problems >= 3:
+            self.ejectUntilMs = nowMs + baseMs * min(8, 2 ** max(0, self.problems - 1))
+        if outage:
+            self.coldUntilMs = max(self.coldUntilMs, self.ejectUntilMs + warmupMs)
+
+    def served(self):
+        self.problems = 0
+
+
+class Chooser:
+    """Chooses among allowed endpoints by expected time, nearness and own outstanding jobs."""
+
+    __slots__ = ("context", "work", "address", "rttMs")
+
+    def __init__(self, context, address):
+        self.context = context
+        self.address = address
+        self.work = {}
+        self.rttMs = {}
+
+    def workMs(self, route):
+        """What a job of this route takes at an endpoint of usual speed, as learned."""
+        return self.work.get(route.name) or route.targetMs * 0.25
+
+    def learn(self, route, target, tookMs, wasQueued):
+        """Learns from a served job."""
+        work = self.workMs(route)
+        rtt = self.rttMs.get(target.region)
+        if target.region != self.context.settings.region:
+            tookMs -= min(rtt if rtt is not None else 0.0, tookMs * 0.8)
+        if wasQueued:
+            return
+        ratio = min(8.0, max(0.15, tookMs / work))
+        target.speed += 0.15 * (ratio - target.speed)
+        self.work[route.name] = work + 0.05 * (tookMs / target.speed - work)
+
+    def connected(self, target, tookMs):
+        """Learns the way to a region from how long opening a stream took."""
+        known = self.rttMs.get(target.region)
+        self.rttMs[target.region] = tookMs if known is None else known + 0.2 * (tookMs - known)
+
+    def mayUseCold(self, target, digest, service, nowMs):
+        """While an endpoint is cold only few, agreed proxies use it, each with its share of what it bears."""
+        if not self.agreed(target, digest):
+            return False
+        target.coldSent = [sentMs for sentMs in target.coldSent if nowMs - sentMs < 1100.0]
+        bounds = self.context.settings.bounds
+        most = (service.coldPerS * bounds.coldExcess + bounds.coldMargin) * 0.6
+        share = max(1, int(min(service.coldPerS, most) / COLD_PROXIES))
+        return len(target.coldSent) < share
+
+    def agreed(self, target, digest):
+        ranked = sorted(digest.proxies, key=lambda proxy: (proxy[1] != target.area, proxy[2] != target.region,
+                                                           zlib.crc32(f"{target.id} {proxy[0]}".encode())))
+        return any(proxy[0] == self.address for proxy in ranked[:COLD_PROXIES])
+
+    def choose(self, job, digest, nowMs):
+        """The target for a job, or None; sets how long the best would take in `job.expectedMs`."""
+        route = job.route
+        settings = self.context.settings
+        work = self.workMs(route)
+        service = digest.services.get(job.service)
+        if service is None:
+            return None
+        best, bestCost = None, None
+        job.expectedMs = None
+        share = max(2, service.maxConns // (len(digest.proxies) + 2))
+        for target in digest.targets.get(job.service, ()):
+            if (target.state != READY or target.gone or not target.sound or target.area in digest.evacuated
+                    or target.id in job.tried or (route.homes and target.region not in route.homes)
+                    or nowMs < target.ejectUntilMs):
+                continue
+            load = target.load(nowMs)
+            if target.outstanding >= target.slots * QUEUE_FACTOR or load >= target.slots * 3:
+                continue
+            if not target.idle and target.open >= share:
+                continue
+            if nowMs < target.coldUntilMs and not self.mayUseCold(target, digest, service, nowMs):
+                continue
+            ahead = max(0.0, load + 1 - target.slots) / target.slots
+            tookMs = work * target.speed * (1.0 + ahead)
+            if nowMs < target.coldUntilMs:
+                tookMs *= 2.0
+            cost = tookMs
+            if target.region != settings.region:
+                rtt = self.rttMs.get(target.region, 50.0)
+                tookMs += rtt if target.idle else 2 * rtt
+                cost = tookMs + route.targetMs * REGION_COST
+            elif target.area != settings.area:
+                cost = tookMs + route.targetMs * AREA_COST
+            cost *= 1.0 + 0.1 * self.context.random.random()
+            if bestCost is None or cost < bestCost:
+                best, bestCost = target, cost
+                job.expectedMs = tookMs
+        return best
--- /dev/null
+++ b/stagevale/configuration/__init__.py
@@ -0,0 +1,561 @@
+"""The configuration part: a compare-and-set register by ballots, kept on disk by a small group of stores."""
+from stagevale import wire
+from stagevale.ballots import NO_BALLOT, Round, asBallot, majority
+from stagevale.configuration.orders import READ, decide
+from stagevale.configuration.value import Value, readValue
+
+
+class Waiting:
+    """An order that waits for its turn at the owner."""
+
+    __slots__ = ("order", "payload", "reply", "expiresMs")
+
+    def __init__(self, order, payload, reply, expiresMs):
+        self.order = order
+        self.payload = payload
+        self.reply = reply
+        self.expiresMs = expiresMs
+
+
+class Keeper:
+    """A store's part in the register: it votes, and where it owns the duty it carries out orders."""
+
+    __slots__ = ("context", "board", "membership", "disk", "promised", "acceptedBallot", "accepted", "wiped",
+                 "loaded", "dirty", "saving", "saveWaiters", "ballot", "chosen", "ownerBallot", "ownerHeardMs",
+                 "electing", "queue", "busy", "unconfirmed", "seedStores", "life", "timer", "beatMs", "callMs",
+                 "highestRound", "colleagues", "stopping", "learnRound", "triedGrowthMs")
+
+    def __init__(self, context, board, membership, disk):
+        settings = context.settings
+        self.context = context
+        self.board = board
+        self.membership = membership
+        self.disk = disk
+        self.promised = NO_BALLOT
+        self.acceptedBallot = NO_BALLOT
+        self.accepted = None
+        self.wiped = False
+        self.loaded = False
+        self.dirty = self.saving = False
+        self.saveWaiters = []
+        self.ballot = None
+        self.chosen = None
+        self.ownerBallot = NO_BALLOT
+        self.ownerHeardMs = context.nowMs()
+        self.electing = None
+        self.queue = []
+        self.busy = False
+        self.unconfirmed = 0
+        self.seedStores = tuple(f"{ip}:{settings.innerPorts[0] + 1}" for ip in settings.seeds)
+        self.life = f"{context.random.getrandbits(32):08x}"
+        self.beatMs = settings.bounds.contactMs / 4.0
+        self.callMs = settings.bounds.ackDeadlineMs / 8.0
+        self.highestRound = 0
+        self.colleagues = set()
+        self.stopping = False
+        self.learnRound = None
+        self.triedGrowthMs = 0.0
+        for kind, handler in ((wire.PREPARE, self.onPrepare), (wire.ACCEPT, self.onAccept),
+                              (wire.CONFIRM, self.onConfirm), (wire.LEARN, self.onLearn),
+                              (wire.BEACON, self.onBeacon), (wire.ORDER, self.onOrder),
+                              (wire.READ_VALUE, self.onReadValue)):
+            board.on(kind, handler)
+
+    def start(self):
+        """Loads what the disk holds, then begins to vote."""
+        self.context.disk(self.disk.load, self.onLoaded)
+
+    def onLoaded(self, record, problem):
+        settings = self.context.settings
+        if problem is not None:
+            self.context.log.error("store: the disk can't be read: %s; trying again.", problem)
+            self.context.after(self.beatMs, self.start)
+            return
+        if record is not None:
+            _, promised, acceptedBallot, packed, colleagues = wire.unpack(record, "load", "disk")
+            self.promised = asBallot(promised)
+            self.acceptedBallot = asBallot(acceptedBallot)
+            self.accepted = readValue(packed) if packed else None
+            self.colleagues = set(colleagues)
+            self.membership.contacts.extend(sorted(self.colleagues))
+            self.context.log.info("store: loaded epoch %d.", self.accepted.serial if self.accepted else 0)
+        elif not settings.firstStart:
+            self.wiped = True
+            self.context.log.warning("store: the disk is empty though this is no first start; learning first.")
+        self.highestRound = self.promised[0]
+        self.loaded = True
+        self.save(self.begin)
+
+    def begin(self, saved):
+        self.tick()
+
+    def record(self):
+        return wire.pack([0, list(self.promised), list(self.acceptedBallot),
+                          self.accepted.packed if self.accepted else b"", sorted(self.colleagues)])
+
+    def save(self, done):
+        """Brings the memory's state to disk; `done(saved)` once a save that covers it has ended."""
+        self.saveWaiters.append(done)
+        self.dirty = True
+        self.nextSave()
+
+    def nextSave(self):
+        if self.saving or not self.dirty:
+            return
+        if self.wiped:
+            waiters, self.saveWaiters, self.dirty = self.saveWaiters, [], False
+            for done in waiters:
+                done(False)
+            return
+        waiters, self.saveWaiters = self.saveWaiters, []
+        self.dirty, self.saving = False, True
+        record = self.record()
+
+        def saved(_, problem):
+            self.saving = False
+            if problem is not None:
+                self.context.log.error("store: saving failed: %s.", problem)
+            for done in waiters:
+                done(problem is None)
+            self.nextSave()
+        self.context.disk(lambda: self.disk.save(record), saved)
+
+    def group(self):
+        if self.accepted is not None:
+            return self.accepted.group
+        return self.seedStores
+
+    def inGroup(self):
+        return self.board.address in self.group()
+
+    # voting
+
+    def onPrepare(self, peer, body, reply):
+        ballot = asBallot(body[0])
+        self.highestRound = max(self.highestRound, ballot[0])
+        if not self.loaded or self.wiped or ballot < self.promised:
+            reply([False, list(self.promised), [0, ""], b""])
+            return
+        self.promised = ballot
+        if self.ballot is not None and ballot != self.ballot:
+            self.stepDown("a higher ballot was promised")
+        self.believe(ballot, 0.0)
+
+        def saved(done):
+            held = done and self.promised == ballot
+            reply([held, list(self.promised), list(self.acceptedBallot),
+                   self.accepted.packed if self.accepted else b""])
+        self.save(saved)
+
+    def onAccept(self, peer, body, reply):
+        ballot, packed = asBallot(body[0]), body[1]
+        self.highestRound = max(self.highestRound, ballot[0])
+        value = readValue(packed)
+        if not self.loaded or self.wiped or ballot < self.promised:
+            reply([False, list(self.promised)])
+            return
+        held = (self.acceptedBallot, self.accepted.serial if self.accepted else -1)
+        if (ballot, value.serial) < held:
+            reply([False, list(self.promised)])
+            return
+        self.promised = self.acceptedBallot = ballot
+        self.accepted = value
+        if self.ballot is not None and ballot != self.ballot:
+            self.stepDown("another owner's value was accepted")
+        self.save(lambda done: reply([done, list(ballot)]))
+
+    def onConfirm(self, peer, body, reply):
+        ballot = asBallot(body[0])
+        reply([self.loaded and not self.wiped and self.promised == ballot, list(self.promised)])
+
+    def onLearn(self, peer, body, reply):
+        reply([self.loaded and not self.wiped, list(self.promised), list(self.acceptedBallot),
+               self.accepted.packed if self.accepted else b""])
+
+    # owning
+
+    def tick(self):
+        self.context.after(self.beatMs, self.tick)
+        nowMs = self.context.nowMs()
+        known = {f"{member.machine}:{self.context.settings.innerPorts[0]}"
+                 for member in self.membership.others() if member.core}
+        if known - self.colleagues:
+            self.colleagues |= known
+            self.save(lambda done: None)
+        if self.wiped:
+            self.catchUp()
+            return
+        if self.ballot is not None:
+            self.beacon()
+            return
+        group = self.group()
+        if not self.inGroup() or self.stopping:
+            return
+        rank = group.index(self.board.address)
+        patienceMs = self.beatMs * (1.7 + 0.6 * rank)
+        if self.accepted is None and rank == 0:
+            patienceMs = 0
+        if nowMs - self.ownerHeardMs > patienceMs:
+            self.elect()
+
+    def elect(self):
+        """Runs for the duty: a round of ballots over the group."""
+        if self.electing is not None or not self.loaded or self.wiped or self.stopping:
+            return
+        self.highestRound = max(self.highestRound, self.promised[0]) + 1
+        ballot = (self.highestRound, f"{self.board.address}#{self.life}")
+        group = self.group()
+        self.electing = Round(ballot, group)
+        best = [NO_BALLOT, None]
+        running = self.electing
+
+        def answered(peer, answer, problem):
+            if running.over:
+                return
+            if problem is not None or answer is None:
+                running.count(peer, False, NO_BALLOT)
+            else:
+                promised, highest, acceptedBallot, packed = answer
+                running.count(peer, promised, asBallot(highest))
+                self.highestRound = max(self.highestRound, highest[0])
+                if promised and packed:
+                    value = readValue(packed)
+                    held = (best[0], best[1].serial if best[1] else -1)
+                    if (asBallot(acceptedBallot), value.serial) > held:
+                        best[0], best[1] = asBallot(acceptedBallot), value
+            if running.won():
+                running.over = True
+                self.electing = None
+                self.won(ballot, group, best[1])
+            elif running.lost():
+                running.over = True
+                self.electing = None
+                self.believe(running.highest, self.beatMs)
+                self.context.after(self.context.random.uniform(0.1, 0.4) * self.beatMs, self.pump)
+
+        for peer in group:
+            self.board.call(peer, wire.PREPARE, [list(ballot)], self.callMs,
+                            lambda answer, problem, peer=peer: answered(peer, answer, problem))
+
+    def won(self, ballot, group, found):
+        if found is not None and set(found.group) != set(group):
+            if self.accepted is None or found.serial > self.accepted.serial:
+                self.accepted, self.acceptedBallot = found, min(self.promised, ballot)
+            self.context.log.info("store: the group has changed; balloting again.")
+            self.context.after(1, self.elect)
+            return
+        if self.promised > ballot:
+            self.pump()
+            return
+        value = found or Value(0, 0, "", (), self.seedStores, {})
+        self.ballot = ballot
+        self.busy = True
+        self.context.log.info("store: won the configuration duty, round %d, epoch %d.", ballot[0], value.serial)
+        self.accept(value, value, lambda chosen: self.pump())
+
+    def believe(self, ballot, agoMs):
+        """Takes the holder of a ballot for the owner, until it has been silent for too long."""
+        if ballot > self.ownerBallot:
+            self.ownerBallot = ballot
+            self.ownerHeardMs = self.context.nowMs() - agoMs
+
+    def stepDown(self, why):
+        if self.ballot is None:
+            return
+        self.context.log.info("store: gave up the configuration duty: %s.", why)
+        self.ballot = None
+        self.chosen = None
+        self.busy = False
+        self.ownerHeardMs = self.context.nowMs()
+
+    def accept(self, before, value, done):
+        """Has a value accepted by a majority of the group before and after it; `done(chosen)`."""
+        ballot = self.ballot
+        everyone = tuple(dict.fromkeys(before.group + value.group))
+        running = Round(ballot, everyone)
+
+        def answered(peer, answer, problem):
+            if running.over:
+                return
+            if problem is not None or answer is None:
+                running.count(peer, False, NO_BALLOT)
+            else:
+                running.count(peer, answer[0], asBallot(answer[1]))
+                if asBallot(answer[1]) > ballot:
+                    self.highestRound = max(self.highestRound, answer[1][0])
+                    running.over = True
+                    if self.ballot == ballot:
+                        self.stepDown(f"{peer} has promised a higher ballot")
+                    done(False)
+                    return
+            if running.won(before.group, value.group):
+                running.over = True
+                if self.ballot != ballot:
+                    done(False)
+                    return
+                self.busy = False
+                self.chosen = value
+                self.publish(value)
+                done(True)
+            elif len(running.yes) + len(running.no) == len(everyone):
+                running.over = True
+                if self.ballot == ballot:
+                    self.stepDown("no majority accepted")
+                done(False)
+
+        for peer in everyone:
+            self.board.call(peer, wire.ACCEPT, [list(ballot), value.packed], self.callMs,
+                            lambda answer, problem, peer=peer: answered(peer, answer, problem))
+
+    def confirm(self, done):
+        """Asks the group whether this ballot still stands; `done(stands)`."""
+        ballot = self.ballot
+        group = self.chosen.group if self.chosen else self.group()
+        running = Round(ballot, group)
+
+        def answered(peer, answer, problem):
+            if running.over:
+                return
+            if problem is not None or answer is None:
+                running.count(peer, False, NO_BALLOT)
+            else:
+                running.count(peer, answer[0], asBallot(answer[1]))
+            if running.won():
+                running.over = True
+                done(self.ballot == ballot)
+            elif len(running.yes) + len(running.no) == len(group) or running.lost():
+                running.over = True
+                if running.highest > ballot and self.ballot == ballot:
+                    self.stepDown("a colleague has promised a higher ballot")
+                done(False)
+
+        for peer in group:
+            self.board.call(peer, wire.CONFIRM, [list(ballot)], self.callMs,
+                            lambda answer, problem, peer=peer: answered(peer, answer, problem))
+
+    def beacon(self):
+        """Confirms the duty with a majority and says so to stores and registries; lets the group grow."""
+        ballot = self.ballot
+
+        def confirmed(stands):
+            if self.ballot != ballot:
+                return
+            if not stands:
+                self.unconfirmed += 1
+                if self.unconfirmed >= 2:
+                    self.stepDown("no majority confirms it")
+                return
+            self.unconfirmed = 0
+            self.ownerHeardMs = self.context.nowMs()
+            if self.chosen is not None:
+                for member in self.membership.others():
+                    if member.core and self.membership.reachable(member.address):
+                        self.board.cast(member.address, wire.BEACON, [list(ballot), self.chosen.serial])
+                self.grow()
+        self.confirm(confirmed)
+
+    def grow(self):
+        """Takes one more store into the group, until it bears whatever leaves the core settled."""
+        if self.busy or self.queue or self.chosen is None:
+            return
+        stores = [member for member in self.membership.members("store") if self.membership.reachable(member.address)]
+        machines = {member.machine for member in self.membership.state.members.values() if member.core}
+        target = 2 * ((max(len(machines), 1) - 1) // 2) + 1
+        group = self.chosen.group
+        nowMs = self.context.nowMs()
+        if len(group) >= min(target, 9) or nowMs - self.triedGrowthMs < self.beatMs / 2:
+            return
+        regions = {}
+        for member in self.membership.state.members.values():
+            if member.address in group:
+                regions[member.region] = regions.get(member.region, 0) + 1
+        outside = [member for member in stores if member.address not in group]
+        outside.sort(key=lambda member: regions.get(member.region, 0))
+        if not outside:
+            return
+        self.triedGrowthMs = nowMs
+        comer = outside[0].address
+
+        def learned(answer, problem):
+            if problem is not None or not answer[0] or self.busy or self.chosen is None or self.ballot is None:
+                return
+            if comer in self.chosen.group:
+                return
+            value = self.chosen.after(group=self.chosen.group + (comer,))
+            self.busy = True
+            self.context.log.info("store: %s joins the configuration's group.", comer)
+            self.accept(self.chosen, value, lambda chosen: self.pump())
+        self.board.call(comer, wire.LEARN, [], self.callMs, learned)
+
+    def publish(self, value):
+        """Brings a chosen value to one registry of each region, which passes it on in its region."""
+        regions = {}
+        for member in self.membership.members("registry"):
+            if self.membership.reachable(member.address):
+                regions.setdefault(member.region, []).append(member)
+        for members in regions.values():
+            members.sort(key=lambda member: member.machine != self.membership.me.machine)
+            self.board.cast(members[0].address, wire.CHOSEN, [value.packed, [m.address for m in members[1:]]])
+
+    def onBeacon(self, peer, body, reply):
+        ballot = asBallot(body[0])
+        if ballot >= self.promised or ballot >= self.ownerBallot:
+            self.ownerBallot = ballot
+            self.ownerHeardMs = self.context.nowMs()
+            if self.ballot is not None and ballot > self.ballot:
+                self.stepDown("another owner has been confirmed")
+
+    def owner(self):
+        """The address of the store that is thought to own the duty, or None."""
+        if self.ballot is not None:
+            return self.board.address
+        if self.context.nowMs() - self.ownerHeardMs < self.beatMs * 2.2 and self.ownerBallot > NO_BALLOT:
+            return self.ownerBallot[1].partition("#")[0]
+        return None
+
+    def onOrder(self, peer, body, reply):
+        """An order from a registry, or passed on by another store."""
+        order, payload, passedOn = body
+        self.take(order, payload, passedOn, reply)
+
+    def onReadValue(self, peer, body, reply):
+        self.take("value", "", body[0] if body else False, reply)
+
+    def take(self, order, payload, passedOn, reply):
+        owner = self.owner()
+        waiting = Waiting(order, payload, reply, self.context.nowMs() + self.callMs * 1.8)
+        if self.ballot is not None:
+            self.queue.append(waiting)
+            self.pump()
+            return
+        if passedOn and self.electing is not None:
+            self.queue.append(waiting)
+            self.context.after(self.callMs * 1.8, self.expire)
+            return
+        if passedOn or not self.loaded or (owner is None and not self.inGroup()):
+            if passedOn:
+                reply([503, "not the owner"])
+                return
+            others = [address for address in self.group() if address != self.board.address]
+            if not others:
+                reply([503, "no group known"])
+                return
+            owner = self.context.random.choice(others)
+        if owner is not None:
+            self.passOn(owner, waiting)
+            return
+        self.queue.append(waiting)
+        self.elect()
+        self.context.after(self.callMs * 1.8, self.expire)
+
+    def passOn(self, owner, waiting):
+        def answered(answer, problem):
+            if problem is None and answer is not None and answer[0] != 503:
+                waiting.reply(answer)
+                return
+            if self.inGroup() and not self.wiped and self.loaded and waiting.expiresMs > self.context.nowMs():
+                silentMs = self.context.nowMs() - self.ownerHeardMs
+                if problem == "no answer in time" and silentMs < self.beatMs * 1.3:
+                    waiting.reply([503, "the owner is slow"])
+                    return
+                if self.ownerBallot[1].partition("#")[0] == owner:
+                    self.ownerHeardMs = -1e12
+                self.queue.append(waiting)
+                self.pump()
+                self.context.after(self.callMs, self.expire)
+            else:
+                waiting.reply([503, "the owner can't be reached"])
+        kind, body = ((wire.READ_VALUE, [True]) if waiting.order == "value"
+                      else (wire.ORDER, [waiting.order, waiting.payload, True]))
+        self.board.call(owner, kind, body, self.callMs * 0.8, answered)
+
+    def expire(self):
+        nowMs = self.context.nowMs()
+        late = [waiting for waiting in self.queue if waiting.expiresMs <= nowMs]
+        self.queue = [waiting for waiting in self.queue if waiting.expiresMs > nowMs]
+        for waiting in late:
+            waiting.reply([503, "no owner in time"])
+        if self.queue:
+            self.context.after(self.callMs / 4, self.expire)
+
+    def pump(self):
+        """Carries out the next order, if this store owns the duty and nothing else is under way."""
+        if self.busy or not self.queue:
+            return
+        if self.ballot is None:
+            owner = self.owner()
+            if owner is not None and owner != self.board.address:
+                queue, self.queue = self.queue, []
+                for waiting in queue:
+                    self.passOn(owner, waiting)
+            elif self.electing is None:
+                self.elect()
+            return
+        if self.chosen is None:
+            return
+        waiting = self.queue.pop(0)
+        if waiting.expiresMs <= self.context.nowMs():
+            waiting.reply([503, "no owner in time"])
+            self.context.soon(self.pump)
+            return
+        value = self.chosen
+        if waiting.order == "value":
+            self.busy = True
+            self.finish(waiting, [200, value.packed])
+            return
+        outcome = decide(value, waiting.order, waiting.payload)
+        self.busy = True
+        if outcome.value is None:
+            self.finish(waiting, [outcome.status, outcome.text])
+            return
+
+        def accepted(chosen):
+            if chosen:
+                waiting.reply([outcome.status, outcome.text])
+            else:
+                waiting.reply([503, "outcome unknown"])
+            self.pump()
+        self.accept(value, outcome.value, accepted)
+
+    def finish(self, waiting, answer):
+        """Answers from the chosen value, once a majority has confirmed that it is the newest."""
+        ballot = self.ballot
+
+        def confirmed(stands):
+            if self.ballot == ballot:
+                self.busy = False
+            waiting.reply(answer if stands else [503, "not confirmed"])
+            self.pump()
+        self.confirm(confirmed)
+
+    def catchUp(self):
+        """A store without its disk learns from a majority of the others before it votes again."""
+        known = {member.address for member in self.membership.members("store")} | set(self.seedStores)
+        known.discard(self.board.address)
+        answers = {}
+
+        def learned(peer, answer, problem):
+            if problem is not None or not self.wiped or not answer[0]:
+                return
+            answers[peer] = answer
+            newest = max(answers.values(), key=lambda got: (asBallot(got[2]), readValue(got[3]).serial if got[3] else -1))
+            value = readValue(newest[3]) if newest[3] else None
+            group = value.group if value else self.seedStores
+            if sum(1 for member in group if member in answers) < majority(len(group)):
+                return
+            self.wiped = False
+            self.promised = max(asBallot(got[1]) for got in answers.values())
+            self.acceptedBallot = asBallot(newest[2])
+            self.accepted = value
+            self.highestRound = max(self.highestRound, self.promised[0])
+            self.context.log.info("store: learned epoch %d from a majority; voting again.", value.serial if value else 0)
+            self.save(lambda done: None)
+        for peer in known:
+            self.board.call(peer, wire.LEARN, [], self.callMs,
+                            lambda answer, problem, peer=peer: learned(peer, answer, problem))
+
+    def handOver(self):
+        """Before an end in order: gives the duty up, so that another may win it at once."""
+        self.stopping = True
+        if self.ballot is not None:
+            self.stepDown("this store ends")
--- /dev/null
+++ b/stagevale/configuration/checking.py
@@ -0,0 +1,110 @@
+"""Reading and checking of the operator's configurations, with trafaret."""
+import hashlib
+import json
+
+import trafaret as t
+from expression import Error, Ok, Result
+
+
+class ConfigProblem:
+    """Why a configuration can't be taken: the HTTP status and a reason that names the place."""
+
+    __slots__ = ("status", "reason")
+
+    def __init__(self, status, reason):
+        self.status = status
+        self.reason = reason
+
+
+def versionNumber(value):
+    """`r12`, `12` or 12 as 12; anything else raises ValueError."""
+    if isinstance(value, bool):
+        raise ValueError(f"not a version: {value!r}")
+    if isinstance(value, int):
+        return value
+    if isinstance(value, str):
+        digits = value[1:] if value[:1] == "r" else value
+        if digits.isascii() and digits.isdigit():
+            return int(digits)
+    raise ValueError(f"not a version: {value!r}")
+
+
+def checkVersion(value):
+    try:
+        return versionNumber(value)
+    except ValueError as problem:
+        raise t.DataError(str(problem))
+
+
+def checkPrefix(value):
+    if not value.startswith("/"):
+        raise t.DataError("does not begin with a slash")
+    return value
+
+
+NUMBER = t.Int(gte=0) | t.Float(gte=0)
+PART = t.Dict({t.Key("service"): t.String(), t.Key("weight"): NUMBER}, allow_extra="*")
+ROUTE = t.Dict({
+    t.Key("name", optional=True): t.String(allow_blank=True),
+    t.Key("host"): t.String(),
+    t.Key("pathPrefix"): t.String() & checkPrefix,
+    t.Key("variant", optional=True): t.Enum("pure", "effectful"),
+    t.Key("timeoutMs"): t.Int(gt=0) | t.Float(gt=0),
+    t.Key("targetMs", optional=True): NUMBER,
+    t.Key("priority", optional=True): NUMBER,
+    t.Key("maxAttempts", optional=True): t.Int(gte=1),
+    t.Key("homeRegions", optional=True): t.List(t.String()) | t.Null(),
+    t.Key("service", optional=True): t.String(),
+    t.Key("weighted", optional=True): t.List(PART, min_length=1),
+}, allow_extra="*")
+SERVICE = t.Dict({
+    t.Key("name"): t.String(),
+    t.Key("healthPath", optional=True): t.String(),
+    t.Key("maxConns", optional=True): NUMBER,
+    t.Key("warmupS", optional=True): NUMBER,
+    t.Key("coldPerS", optional=True): NUMBER,
+}, allow_extra="*")
+CONFIG = t.Dict({
+    t.Key("version"): checkVersion,
+    t.Key("parentVersion", default=0): checkVersion,
+    t.Key("routes"): t.List(ROUTE),
+    t.Key("services"): t.List(SERVICE),
+    t.Key("limits", optional=True): t.Dict({}, allow_extra="*"),
+}, allow_extra="*")
+
+
+def readConfig(text) -> Result:
+    """The text of a configuration as Ok(table with numbers for versions), or Error(ConfigProblem)."""
+    try:
+        raw = json.loads(text)
+    except (ValueError, RecursionError) as problem:
+        return Error(ConfigProblem(400, f"not JSON: {problem}"))
+    try:
+        table = CONFIG.check(raw)
+    except t.DataError as problem:
+        return Error(ConfigProblem(400, json.dumps(problem.as_dict(), default=str)))
+    known = {service["name"] for service in table["services"]}
+    places = set()
+    for number, route in enumerate(table["routes"]):
+        where = route.get("name") or f"routes[{number}]"
+        place = route["host"].lower(), route["pathPrefix"]
+        if place in places:
+            return Error(ConfigProblem(400, f"{where}: another route has this host and prefix"))
+        places.add(place)
+        targets = [route["service"]] if route.get("service") else []
+        if route.get("weighted"):
+            targets += [part["service"] for part in route["weighted"]]
+            if sum(part["weight"] for part in route["weighted"]) <= 0:
+                return Error(ConfigProblem(400, f"{where}: no weight above 0"))
+        if not targets:
+            return Error(ConfigProblem(400, f"{where}: no service"))
+        for target in targets:
+            if target not in known:
+                return Error(ConfigProblem(400, f"{where}: unknown service {target}"))
+    return Ok(table)
+
+
+def fingerprint(text):
+    """A hash that is equal for equal configurations, however they are spaced."""
+    canonical = json.dumps(json.loads(text), sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(canonical.encode()).hexdigest()[:24]
--- /dev/null
+++ b/stagevale/configuration/disk.py
@@ -0,0 +1,86 @@
+"""What a store keeps on disk: whole generations of a dbm.dumb table, synced before they count."""
+import dbm.dumb
+import os
+import re
+import zlib
+
+NAME = re.compile(r"^register-(\d+)\.dir$")
+GENERATIONS_KEPT = 2
+
+
+class Folder:
+    """The few file calls that the disk register needs; tests bring one that tears writes."""
+
+    __slots__ = ("path",)
+
+    def __init__(self, path):
+        self.path = path
+
+    def names(self):
+        return os.listdir(self.path)
+
+    def sync(self, name):
+        number = os.open(os.path.join(self.path, name) if name else self.path, os.O_RDONLY)
+        try:
+            os.fsync(number)
+        finally:
+            os.close(number)
+
+    def remove(self, name):
+        try:
+            os.remove(os.path.join(self.path, name))
+        except FileNotFoundError:
+            pass
+
+
+class DiskRegister:
+    """Saves and loads the store's record. Every call belongs on the disk thread."""
+
+    __slots__ = ("folder", "generation")
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.generation = 0
+
+    def load(self):
+        """The newest record that is whole, or None where there is none."""
+        generations = sorted((int(match.group(1)) for match in map(NAME.match, self.folder.names()) if match),
+                             reverse=True)
+        if generations:
+            self.generation = generations[0]
+        for generation in generations:
+            record = self.read(generation)
+            if record is not None:
+                return record
+        return None
+
+    def read(self, generation):
+        try:
+            table = dbm.dumb.open(os.path.join(self.folder.path, f"register-{generation}"), "r")
+            try:
+                record, check = table[b"record"], table[b"check"]
+            finally:
+                table.close()
+        except Exception:
+            return None
+        return record if check == str(zlib.crc32(record)).encode() else None
+
+    def save(self, record):
+        """Writes a fresh generation, syncs its files and the folder, then drops old ones."""
+        generation = self.generation + 1
+        self.generation = generation
+        name = f"register-{generation}"
+        for ending in (".dat", ".dir", ".bak"):
+            self.folder.remove(name + ending)
+        table = dbm.dumb.open(os.path.join(self.folder.path, name), "n")
+        table[b"record"] = record
+        table[b"check"] = str(zlib.crc32(record)).encode()
+        table.close()
+        self.folder.sync(name + ".dat")
+        self.folder.sync(name + ".dir")
+        self.folder.sync("")
+        self.folder.remove(name + ".bak")
+        old = generation - GENERATIONS_KEPT
+        if old > 0:
+            for ending in (".dir", ".dat", ".bak"):
+                self.folder.remove(f"register-{old}{ending}")
--- /dev/null
+++ b/stagevale/configuration/orders.py
@@ -0,0 +1,45 @@
+"""What each order of the operator does to the register's value."""
+from stagevale.configuration.checking import ConfigProblem, fingerprint, readConfig
+
+REPLACE, EVACUATE, TAKE_BACK, READ = "replace", "evacuate", "takeBack", "read"
+
+
+class Outcome:
+    """What an order comes to: an HTTP status and text, and the next value where there is a change."""
+
+    __slots__ = ("status", "text", "value")
+
+    def __init__(self, status, text="", value=None):
+        self.status = status
+        self.text = text
+        self.value = value
+
+
+def decide(value, order, payload):
+    """The outcome of an order on top of the chosen value; the value stays as it is."""
+    if order == READ:
+        return Outcome(200, value.config) if value.config else Outcome(404, "no configuration yet")
+    if order == EVACUATE:
+        if payload in value.evacuated:
+            return Outcome(200)
+        return Outcome(200, value=value.after(evacuated=value.evacuated + (payload,)))
+    if order == TAKE_BACK:
+        if payload not in value.evacuated:
+            return Outcome(200)
+        return Outcome(200, value=value.after(evacuated=tuple(z for z in value.evacuated if z != payload)))
+    if order == REPLACE:
+        checked = readConfig(payload)
+        if checked.is_error():
+            problem: ConfigProblem = checked.error
+            return Outcome(problem.status, problem.reason)
+        table = checked.ok
+        version, parent, hashed = table["version"], table["parentVersion"], fingerprint(payload)
+        if value.taken.get(str(version)) == hashed:
+            return Outcome(200)
+        if parent != value.version:
+            return Outcome(412, f"version r{value.version} is in place")
+        if version <= value.version:
+            return Outcome(400, f"version r{version} is not above r{value.version}")
+        return Outcome(200, value=value.after(version=version, config=payload,
+                                              taken={**value.taken, str(version): hashed}))
+    return Outcome(404, f"unknown order {order}")
--- /dev/null
+++ b/stagevale/membership/__init__.py
@@ -0,0 +1,360 @@
+"""Membership by gossip, after "Akka Cluster Specification": overview, state, suspicion, sorted leader."""
+import asyncio
+import struct
+
+from stagevale import wire
+from stagevale.membership import clocks
+from stagevale.membership.state import (AWAITING, COMPLETE, COUNTED, DOWN, EXITING, JOINING, LEADING, LEAVING,
+                                        REMOVED, STATE_NAMES, UP, GossipState, Member, fromMessage, merged, sortKey)
+from stagevale.membership.suspicion import THRESHOLD, Suspicion
+
+ROW = struct.Struct("!6sIII")
+DATAGRAM_BYTES = 60000
+
+
+class Membership(asyncio.DatagramProtocol):
+    """This daemon's part in the gossip; datagrams in, datagrams out."""
+
+    __slots__ = ("context", "me", "state", "rows", "heartbeat", "suspicions", "unreachable", "observed", "transport",
+                 "changeHooks", "contacts", "intervalMs", "timer", "placer", "epoch", "epochHook", "leftHook",
+                 "startedMs", "lonelySinceMs", "leaving")
+
+    def __init__(self, context, address, program, front=""):
+        settings = context.settings
+        self.context = context
+        self.me = Member(address, context.random.getrandbits(31), 0, JOINING, program,
+                         settings.area, settings.region, front)
+        self.state = GossipState({address: 1}, {address: self.me}, 0, {}, ())
+        self.rows = {}
+        self.heartbeat = 0
+        self.suspicions = {}
+        self.unreachable = frozenset()
+        self.observed = {}
+        self.transport = None
+        self.changeHooks = []
+        self.contacts = [f"{ip}:{settings.innerPorts[0]}" for ip in settings.seeds] or [address]
+        self.intervalMs = settings.bounds.contactMs / 4.0
+        self.timer = None
+        self.placer = None
+        self.epoch = 0
+        self.epochHook = None
+        self.leaving = False
+        self.startedMs = self.lonelySinceMs = context.nowMs()
+
+    def start(self):
+        """Binds the gossip port and begins to gossip."""
+        self.context.datagrams(wire.pair(self.me.address), self)
+        self.timer = self.context.after(self.context.random.uniform(0.02, 0.1) * self.intervalMs, self.tick)
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def error_received(self, problem):
+        pass
+
+    def connection_lost(self, problem):
+        self.transport = None
+
+    def others(self, states=COUNTED):
+        """The other members in these states."""
+        return [member for member in self.state.members.values()
+                if member.state in states and member.address != self.me.address]
+
+    def members(self, program, states=COUNTED):
+        """Members of one program, this one included, in sorted order."""
+        return [member for member in self.state.sorted() if member.program == program and member.state in states]
+
+    def reachable(self, address):
+        return address not in self.unreachable
+
+    def version(self):
+        return self.state.mark
+
+    def converged(self):
+        """True when every member that counts is reachable and has seen this very state."""
+        mark = self.state.mark
+        for member in self.state.members.values():
+            if member.state not in COUNTED or member.address == self.me.address:
+                continue
+            if member.address in self.unreachable:
+                return False
+            row = self.rows.get(member.address)
+            if row is None or row[0] != member.uid or row[2] != mark:
+                return False
+        return True
+
+    def leader(self):
+        """The first member in sorted order that may lead among those not suspected.
+
+        Where nobody is up yet, the first joining core member leads: the singleton rule of the source,
+        which otherwise would let no cluster begin.
+        """
+        reachable = [member for member in self.state.sorted() if member.address not in self.unreachable]
+        for member in reachable:
+            if member.state in LEADING:
+                return member.address
+        if any(member.state in LEADING for member in self.state.members.values()):
+            return None
+        waitedMs = self.context.nowMs() - self.startedMs
+        for member in reachable:
+            if member.state == JOINING and member.core:
+                if member.address == self.contacts[0] or waitedMs > self.intervalMs * 2:
+                    return member.address
+                return None
+        return None
+
+    def tick(self):
+        """One gossip round: heartbeat, suspicion, own place in the state, leader's actions, overviews."""
+        context = self.context
+        nowMs = context.nowMs()
+        self.heartbeat += 1
+        self.suspect(nowMs)
+        self.ensureSelf()
+        settled = self.converged()
+        self.lead(settled, nowMs)
+        self.gossip(nowMs)
+        pace = self.intervalMs if settled else self.intervalMs * 0.45
+        self.timer = context.after(pace * context.random.uniform(0.9, 1.1), self.tick)
+
+    def suspect(self, nowMs):
+        unreachable = set()
+        for member in self.others():
+            suspicion = self.suspicions.get(member.address)
+            if suspicion is None:
+                self.suspicions[member.address] = Suspicion(nowMs, self.intervalMs * 2)
+            elif suspicion.phi(nowMs) > THRESHOLD:
+                unreachable.add(member.address)
+        unreachable = frozenset(unreachable)
+        if unreachable != self.unreachable:
+            for address in unreachable - self.unreachable:
+                self.context.log.info("membership: %s is suspected.", address)
+            for address in self.unreachable - unreachable:
+                self.context.log.info("membership: %s is heard again.", address)
+            self.unreachable = unreachable
+            self.tell()
+
+    def ensureSelf(self):
+        """Rejoins as a new life where the state holds another, downed or removed life of this address."""
+        known = self.state.members.get(self.me.address)
+        if known is not None and known.uid == self.me.uid and known.state in COUNTED:
+            if known.state != self.me.state:
+                self.me = known
+            return
+        generation = known.generation + 1 if known is not None else 0
+        self.me = Member(self.me.address, self.me.uid if known is None or known.uid != self.me.uid
+                         else self.context.random.getrandbits(31), generation,
+                         JOINING, self.me.program, self.me.area, self.me.region, self.me.front)
+        self.put(self.state.changed(self.me.address, members={**self.state.members, self.me.address: self.me}))
+
+    def put(self, state):
+        before = self.state
+        self.state = state
+        for address, member in state.members.items():
+            known = before.members.get(address)
+            if known is None or known.uid != member.uid:
+                self.suspicions.pop(address, None)
+            if (known is None or known.state != member.state) and address != self.me.address:
+                self.context.log.info("membership: %s is %s.", address, STATE_NAMES[member.state])
+        mine = state.members.get(self.me.address)
+        if mine is not None and mine.uid == self.me.uid and mine.state != self.me.state:
+            self.me = mine
+            self.context.log.info("membership: this daemon is %s.", STATE_NAMES[mine.state])
+        self.tell()
+
+    def tell(self):
+        for hook in self.changeHooks:
+            hook()
+
+    def lead(self, settled, nowMs):
+        """What the sorted leader does: at convergence shifts members and moves parts; downs with a core majority."""
+        if self.leader() != self.me.address:
+            return
+        if not settled:
+            self.bury()
+            return
+        members = dict(self.state.members)
+        table, tableEpoch, moves = self.state.table, self.state.tableEpoch, self.state.moves
+        changed = False
+        for address, member in self.state.members.items():
+            if member.state == JOINING:
+                members[address] = member.at(UP)
+                changed = True
+            elif member.state == EXITING or (member.state == DOWN and not member.core):
+                members[address] = member.at(REMOVED)
+                changed = True
+        if self.placer is not None:
+            placed = self.placer(members, table, moves)
+            if placed is not None:
+                table, moves = placed
+                tableEpoch += 1
+                changed = True
+        if changed:
+            pruned = {address: counter for address, counter in self.state.clock.items()
+                      if address in members and members[address].state != REMOVED}
+            base = GossipState(pruned, self.state.members, self.state.tableEpoch, self.state.table, self.state.moves)
+            self.put(base.changed(self.me.address, members=members, tableEpoch=tableEpoch, table=table, moves=moves))
+
+    def bury(self):
+        """Marks unreachable members down, where a majority of the core machines finds them unreachable."""
+        core = {member.machine for member in self.state.members.values() if member.core and member.state != REMOVED}
+        members = dict(self.state.members)
+        changed = False
+        for address in self.unreachable:
+            witnesses = {observer.rpartition(":")[0] for observer, (_, seen) in self.observed.items()
+                         if address in seen and observer not in self.unreachable
+                         and observer in members and members[observer].core}
+            if self.me.core:
+                witnesses.add(self.me.machine)
+            if len(witnesses & core) * 2 > len(core) and members[address].state in COUNTED:
+                members[address] = members[address].at(DOWN)
+                changed = True
+        if changed:
+            self.put(self.state.changed(self.me.address, members=members))
+
+    def completeMove(self, move):
+        """Marks a pending move of this daemon as complete."""
+        moves = tuple(type(move)(kept.part, kept.giver, kept.taker, COMPLETE) if kept.key() == move.key() else kept
+                      for kept in self.state.moves)
+        self.put(self.state.changed(self.me.address, moves=moves))
+
+    def leave(self):
+        """Says that this daemon leaves in order."""
+        known = self.state.members.get(self.me.address)
+        if known is not None and known.uid == self.me.uid and known.state in (JOINING, UP):
+            self.leaving = True
+            self.put(self.state.changed(self.me.address,
+                                        members={**self.state.members, self.me.address: known.at(LEAVING)}))
+            for _ in range(3):
+                self.gossip(self.context.nowMs())
+
+    def exit(self):
+        """Says that all that this daemon had is handed over."""
+        known = self.state.members.get(self.me.address)
+        if known is not None and known.uid == self.me.uid and known.state == LEAVING:
+            self.put(self.state.changed(self.me.address,
+                                        members={**self.state.members, self.me.address: known.at(EXITING)}))
+
+    def gossip(self, nowMs):
+        """Sends the overview: to a live member, sometimes to an unreachable one, a deputy, one that differs."""
+        random = self.context.random
+        live = [member for member in self.others() if member.address not in self.unreachable]
+        lost = [member for member in self.others() if member.address in self.unreachable]
+        overview = None
+        targets = set()
+        if live:
+            near = [member for member in live if member.region == self.me.region]
+            chosen = random.choice(near) if near and random.random() < 0.7 else random.choice(live)
+            targets.add(chosen.address)
+            differing = [member for member in live
+                         if self.rows.get(member.address, (0, 0, 0))[2] != self.state.mark]
+            if differing:
+                targets.add(random.choice(differing).address)
+            deputies = [member for member in self.state.sorted() if member.state in LEADING][1:3]
+            names = {member.address for member in deputies}
+            if chosen.address not in names and deputies and random.random() < (len(lost) + 0.2) / (len(live) + 1):
+                targets.add(random.choice(deputies).address)
+        if lost and random.random() < len(lost) / (len(live) + 1.0) + 0.1:
+            targets.add(random.choice(lost).address)
+        downed = [member for member in self.others((DOWN,)) if member.core]
+        if downed and random.random() < 0.15:
+            targets.add(random.choice(downed).address)
+        targets.discard(self.me.address)
+        for address in targets:
+            overview = overview or self.overview()
+            self.sendTo(address, overview)
+        alone = self.state.members[self.me.address].state == JOINING or not live
+        if alone or random.random() < 0.03:
+            unknown = [address for address in self.contacts
+                       if address not in self.state.members and address != self.me.address]
+            for address in unknown:
+                self.sendTo(address, wire.pack([wire.STATE, self.me.address, self.packedState()]))
+
+    def overview(self):
+        rows = [ROW.pack(wire.packAddress(self.me.address), self.me.uid, self.heartbeat, self.state.mark)]
+        for address, (uid, heartbeat, mark) in self.rows.items():
+            member = self.state.members.get(address)
+            if member is not None and member.state in COUNTED:
+                rows.append(ROW.pack(wire.packAddress(address), uid, heartbeat, mark))
+        seen = [[self.me.address, self.heartbeat, sorted(self.unreachable)]] if self.unreachable else []
+        for observer, (heartbeat, addresses) in self.observed.items():
+            member = self.state.members.get(observer)
+            if addresses and member is not None and member.core and observer not in self.unreachable:
+                seen.append([observer, heartbeat, sorted(addresses)])
+        return wire.pack([wire.OVERVIEW, self.me.address,
+                          b"".join(wire.packAddress(address) + struct.pack("!I", counter)
+                                   for address, counter in self.state.clock.items()),
+                          b"".join(rows), seen, self.epoch])
+
+    def packedState(self):
+        return wire.squeeze(wire.pack([0, self.state.message()]))
+
+    def sendTo(self, address, data):
+        if self.transport is not None and len(data) <= DATAGRAM_BYTES:
+            self.transport.sendto(data, wire.pair(address))
+
+    def datagram_received(self, data, source):
+        peer = f"{source[0]}:{source[1]}"
+        try:
+            message = wire.unpack(data, "gossip", peer)
+            kind, sender = message[0], message[1]
+            sortKey(sender)
+            if kind == wire.OVERVIEW:
+                self.heardOverview(sender, message)
+            elif kind == wire.STATE:
+                self.heardState(sender, fromMessage(wire.unpack(wire.unsqueeze(message[2]), "state", peer)[1]))
+            elif kind == wire.STATE_WANTED:
+                self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
+        except Exception as problem:
+            self.context.log.warning("membership: unreadable gossip from %s: %r.", peer, problem)
+
+    def heardOverview(self, sender, message):
+        _, _, clockBytes, rowBytes, seen, epoch = message
+        nowMs = self.context.nowMs()
+        theirs = {}
+        for at in range(0, len(clockBytes) - 9, 10):
+            theirs[wire.unpackAddress(clockBytes[at:at + 6])] = struct.unpack_from("!I", clockBytes, at + 6)[0]
+        for packed, uid, heartbeat, mark in ROW.iter_unpack(rowBytes):
+            address = wire.unpackAddress(packed)
+            if address == self.me.address:
+                continue
+            member = self.state.members.get(address)
+            if member is not None and member.uid != uid:
+                continue
+            known = self.rows.get(address)
+            if known is None or known[0] != uid or heartbeat > known[1]:
+                if known is None or known[0] != uid:
+                    self.suspicions[address] = Suspicion(nowMs, self.intervalMs * 2)
+                elif address in self.suspicions:
+                    self.suspicions[address].heard(nowMs)
+                self.rows[address] = (uid, heartbeat, mark)
+        for observer, heartbeat, addresses in seen:
+            known = self.observed.get(observer)
+            if known is None or heartbeat > known[0] or heartbeat < known[0] - 10:
+                self.observed[observer] = (heartbeat, frozenset(addresses))
+        if sender in self.observed and not any(observer == sender for observer, _, _ in seen):
+            self.observed.pop(sender)
+        if epoch > self.epoch and self.epochHook is not None:
+            self.epochHook(sender, epoch)
+        relation = clocks.compare(self.state.clock, theirs, self.state.removed())
+        if relation == clocks.OLDER or relation == clocks.APART or sender not in self.state.members:
+            self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
+        if relation in (clocks.NEWER, clocks.APART):
+            self.sendTo(sender, wire.pack([wire.STATE_WANTED, self.me.address]))
+
+    def heardState(self, sender, theirs):
+        mine = self.state
+        relation = clocks.compare(mine.clock, theirs.clock, mine.removed() | theirs.removed())
+        if relation == clocks.SAME and mine.mark == theirs.mark:
+            return
+        if relation == clocks.NEWER:
+            kept = theirs.members.get(self.me.address)
+            self.put(theirs)
+            if kept is None or kept.uid != self.me.uid or kept.state not in COUNTED:
+                self.ensureSelf()
+            return
+        if relation == clocks.OLDER or relation == clocks.SAME:
+            self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
+            return
+        self.put(merged(mine, theirs))
+        self.ensureSelf()
+        self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
--- /dev/null
+++ b/stagevale/membership/clocks.py
@@ -0,0 +1,40 @@
+"""Vector clocks as mappings from address to counter."""
+import zlib
+
+SAME, OLDER, NEWER, APART = "same", "older", "newer", "apart"
+
+
+def compare(mine, theirs, ignored=()):
+    """How `theirs` stands to `mine`; addresses in `ignored` (removed members) don't count."""
+    ahead = behind = False
+    for address, counter in theirs.items():
+        if counter > mine.get(address, 0) and address not in ignored:
+            ahead = True
+            break
+    for address, counter in mine.items():
+        if counter > theirs.get(address, 0) and address not in ignored:
+            behind = True
+            break
+    if ahead and behind:
+        return APART
+    return NEWER if ahead else OLDER if behind else SAME
+
+
+def joined(one, other):
+    """The least clock that is not before either."""
+    both = dict(one)
+    for address, counter in other.items():
+        if counter > both.get(address, 0):
+            both[address] = counter
+    return both
+
+
+def raised(clock, address):
+    """The clock after one more change by `address`."""
+    return {**clock, address: clock.get(address, 0) + 1}
+
+
+def mark(clock, ignored=()):
+    """A short number that is equal for equal clocks, for the overview's rows."""
+    text = ",".join(f"{address}={clock[address]}" for address in sorted(clock) if address not in ignored)
+    return zlib.crc32(text.encode())
--- /dev/null
+++ b/stagevale/membership/state.py
@@ -0,0 +1,133 @@
+"""The gossip state: members and their states, the placement table, pending moves."""
+from stagevale.membership import clocks
+
+JOINING, UP, LEAVING, EXITING, DOWN, REMOVED = range(6)
+STATE_NAMES = ("joining", "up", "leaving", "exiting", "down", "removed")
+COUNTED = (JOINING, UP, LEAVING, EXITING)
+LEADING = (UP, LEAVING, EXITING)
+AWAITING, COMPLETE = 0, 1
+
+
+class Member:
+    """One daemon as the gossip state knows it. Immutable by custom."""
+
+    __slots__ = ("address", "uid", "generation", "state", "program", "area", "region", "front")
+
+    def __init__(self, address, uid, generation, state, program, area, region, front):
+        self.address = address
+        self.uid = uid
+        self.generation = generation
+        self.state = state
+        self.program = program
+        self.area = area
+        self.region = region
+        self.front = front
+
+    def fields(self):
+        return [self.address, self.uid, self.generation, self.state, self.program, self.area, self.region, self.front]
+
+    def at(self, state):
+        """The same life in another state."""
+        return Member(self.address, self.uid, self.generation, state, self.program, self.area, self.region, self.front)
+
+    @property
+    def machine(self):
+        return self.address.rpartition(":")[0]
+
+    @property
+    def core(self):
+        return self.program != "proxy"
+
+    def rank(self):
+        return self.generation, self.uid, self.state
+
+
+class Move:
+    """A pending change of placement: one part from one member to another."""
+
+    __slots__ = ("part", "giver", "taker", "status")
+
+    def __init__(self, part, giver, taker, status):
+        self.part = part
+        self.giver = giver
+        self.taker = taker
+        self.status = status
+
+    def fields(self):
+        return [self.part, self.giver, self.taker, self.status]
+
+    def key(self):
+        return self.part, self.giver, self.taker
+
+
+def sortKey(address):
+    """Orders addresses by number, as the leader's order wants it."""
+    ip, _, port = address.rpartition(":")
+    return tuple(int(part) for part in ip.split(".")) + (int(port),)
+
+
+class GossipState:
+    """What all members are to agree on. Immutable by custom: every change makes a new one."""
+
+    __slots__ = ("clock", "members", "tableEpoch", "table", "moves", "mark")
+
+    def __init__(self, clock, members, tableEpoch, table, moves):
+        self.clock = clock
+        self.members = members
+        self.tableEpoch = tableEpoch
+        self.table = table
+        self.moves = moves
+        self.mark = clocks.mark(clock, self.removed())
+
+    def removed(self):
+        return {address for address, member in self.members.items() if member.state == REMOVED}
+
+    def sorted(self):
+        """Members in sorted order of their addresses."""
+        return [self.members[address] for address in sorted(self.members, key=sortKey)]
+
+    def changed(self, by, members=None, tableEpoch=None, table=None, moves=None):
+        """This state after a change made by `by`."""
+        return GossipState(clocks.raised(self.clock, by),
+                           self.members if members is None else members,
+                           self.tableEpoch if tableEpoch is None else tableEpoch,
+                           self.table if table is None else table,
+                           self.moves if moves is None else moves)
+
+    def message(self):
+        return [[[address, counter] for address, counter in self.clock.items()],
+                [member.fields() for member in self.members.values()],
+                self.tableEpoch,
+                [[part, list(group)] for part, group in self.table.items()],
+                [move.fields() for move in self.moves]]
+
+
+def fromMessage(body):
+    """A gossip state out of a message; a misshapen one raises ValueError or its kin."""
+    clockRows, memberRows, tableEpoch, tableRows, moveRows = body
+    members = {}
+    for row in memberRows:
+        member = Member(*row)
+        sortKey(member.address)
+        if not 0 <= member.state <= REMOVED:
+            raise ValueError("member state")
+        members[member.address] = member
+    return GossipState({address: int(counter) for address, counter in clockRows}, members, int(tableEpoch),
+                       {part: tuple(group) for part, group in tableRows},
+                       tuple(Move(*row) for row in moveRows))
+
+
+def merged(mine, theirs):
+    """Both states in one: per member the later life and state, the later table, completed moves kept."""
+    members = dict(mine.members)
+    for address, member in theirs.members.items():
+        known = members.get(address)
+        if known is None or member.rank() > known.rank():
+            members[address] = member
+    later = max(mine, theirs, key=lambda state: (state.tableEpoch, sorted(state.table.items())))
+    moves = {move.key(): move for move in later.moves}
+    for move in mine.moves + theirs.moves:
+        if move.key() in moves and move.status == COMPLETE:
+            moves[move.key()] = move
+    return GossipState(clocks.joined(mine.clock, theirs.clock), members, later.tableEpoch, later.table,
+                       tuple(moves[key] for key in sorted(moves)))
--- /dev/null
+++ b/stagevale/placement/__init__.py
@@ -0,0 +1,86 @@
+"""Placement: which members keep which part of the state, and which registries feed the proxies of an area."""
+import zlib
+
+from stagevale.membership.state import AWAITING, COMPLETE, LEAVING, UP, Move, sortKey
+
+PARTS = tuple(f"part-{number}" for number in range(8))
+GROUP_SIZE = 3
+FEEDERS = 3
+
+
+def partOf(service):
+    """The part that a service's registrations fall into, by hash of its name."""
+    return PARTS[zlib.crc32(service.encode()) % len(PARTS)]
+
+
+def weight(part, address):
+    return zlib.crc32(f"{part} {address}".encode())
+
+
+def groupFor(part, registries):
+    """A small group for a part: by rendezvous hash, one registry a region before a second of any."""
+    ordered = sorted(registries, key=lambda member: (-weight(part, member.address), sortKey(member.address)))
+    group, regions = [], set()
+    for member in ordered:
+        if member.region not in regions and len(group) < GROUP_SIZE:
+            group.append(member.address)
+            regions.add(member.region)
+    for member in ordered:
+        if member.address not in group and len(group) < GROUP_SIZE:
+            group.append(member.address)
+    return tuple(group)
+
+
+def feedersFor(area, region, registries):
+    """The registries that feed an area's proxies, nearest first."""
+    ordered = sorted(registries, key=lambda member: (member.area != area, member.region != region,
+                                                     weight(area, member.address), sortKey(member.address)))
+    return tuple(member.address for member in ordered[:FEEDERS])
+
+
+def place(members, table, moves, areas):
+    """The leader's rule: returns (table, moves) where anything is to change, else None.
+
+    A part leaves a member that still lives by a pending move; from one that doesn't it is taken at once,
+    and the others of the group hand over what they keep.
+    """
+    registries = [member for member in members.values() if member.program == "registry" and member.state == UP]
+    if not registries:
+        return None
+    living = {member.address for member in members.values()
+              if member.program == "registry" and member.state in (UP, LEAVING)}
+    newTable, newMoves = dict(table), []
+    for move in moves:
+        if move.status == COMPLETE:
+            newTable[move.part] = tuple(move.taker if address == move.giver else address
+                                        for address in newTable.get(move.part, ()))
+        elif move.giver in living and move.taker in living and move.giver in newTable.get(move.part, ()):
+            newMoves.append(move)
+    for part in PARTS:
+        wanted, held = groupFor(part, registries), newTable.get(part, ())
+        if any(move.part == part for move in newMoves):
+            continue
+        if set(wanted) == set(held):
+            newTable[part] = wanted if not held else held
+            continue
+        comers = [address for address in wanted if address not in held]
+        group = list(held)
+        for address in held:
+            if address in wanted:
+                continue
+            if address not in living:
+                group.remove(address)
+                if comers:
+                    group.append(comers.pop(0))
+            elif comers:
+                newMoves.append(Move(part, address, comers.pop(0), AWAITING))
+            else:
+                group.remove(address)
+        group.extend(comers)
+        newTable[part] = tuple(group)
+    for area, region in areas.items():
+        newTable["feeds-" + area] = feedersFor(area, region, registries)
+    newMoves = tuple(newMoves)
+    if newTable == table and [m.fields() for m in newMoves] == [m.fields() for m in moves]:
+        return None
+    return newTable, newMoves
--- /dev/null
+++ b/stagevale/programs/__init__.py
@@ -0,0 +1,115 @@
+"""What the three daemons have in common: logs, settings, signals, the loop."""
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+from absl import logging
+
+from stagevale import wire
+from stagevale.context import Context
+from stagevale.membership import Membership
+from stagevale.settings import SettingsProblem, loadSettings, settingsPath
+from stagevale.wire.switchboard import Switchboard
+
+EXIT_MISUSE = 2
+
+
+class Daemon:
+    """One running program; `begin` starts its parts, `end` asks for an end in order."""
+
+    __slots__ = ("context", "board", "membership", "program", "path", "stamp", "ending")
+
+    def __init__(self, context, program, portOffset, path):
+        settings = context.settings
+        self.context = context
+        self.program = program
+        self.path = path
+        self.stamp = stampOf(path)
+        self.ending = False
+        address = f"{settings.ip}:{settings.innerPorts[0] + portOffset}"
+        front = settings.listen.get("front")
+        self.board = Switchboard(context, address)
+        self.membership = Membership(context, address, program, f"{front[0]}:{front[1]}" if front else "")
+
+    def begin(self):
+        self.board.start()
+        self.membership.start()
+        self.context.after(1000, self.watchSettings)
+
+    def watchSettings(self):
+        """Settings may change without a signal."""
+        self.context.after(1000, self.watchSettings)
+        stamp = stampOf(self.path)
+        if stamp != self.stamp:
+            self.reload()
+
+    def reload(self):
+        """Reads the settings again; invalid ones are logged and the old ones stay."""
+        self.stamp = stampOf(self.path)
+        try:
+            settings = loadSettings(self.path)
+        except SettingsProblem as problem:
+            self.context.log.error("%s: new settings are invalid, the old ones stay: %s.", self.program, problem)
+            return
+        if settings.ip != self.context.settings.ip or settings.innerPorts != self.context.settings.innerPorts:
+            self.context.log.error("%s: new settings move this daemon; that takes a restart.", self.program)
+            return
+        self.context.settings = settings
+        self.membership.contacts.extend(f"{ip}:{settings.innerPorts[0]}" for ip in settings.seeds
+                                        if f"{ip}:{settings.innerPorts[0]}" not in self.membership.contacts)
+        self.context.log.info("%s: settings read again.", self.program)
+
+    def end(self):
+        """An end in order; the programs add what is theirs and call `finish`."""
+        self.finish()
+
+    def finish(self):
+        self.context.loop.stop()
+
+
+def stampOf(path):
+    try:
+        stat = os.stat(path)
+    except OSError:
+        return None
+    return stat.st_mtime_ns, stat.st_size
+
+
+def run(makeDaemon, program):
+    """Runs a daemon until it ends; returns the exit code."""
+    logging.set_stderrthreshold("info")
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    path = settingsPath()
+    try:
+        settings = loadSettings(path)
+    except SettingsProblem as problem:
+        sys.stderr.write(f"stagevale {program}: {path}: {problem}\n")
+        return EXIT_MISUSE
+    loop = asyncio.new_event_loop()
+    context = Context(settings, loop, logging)
+    daemon = makeDaemon(context, path)
+
+    def end():
+        if not daemon.ending:
+            daemon.ending = True
+            context.stopping = True
+            logging.info("%s: ending in order.", program)
+            daemon.end()
+    loop.add_signal_handler(signal.SIGTERM, end)
+    loop.add_signal_handler(signal.SIGINT, end)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    loop.set_exception_handler(lambda loop, details: logging.error(
+        "%s: %s: %r.", program, details.get("message"), details.get("exception")))
+    loop.call_soon(daemon.begin)
+    gc.collect()
+    gc.freeze()
+    logging.info("%s: %s starts in %s.", program, settings.name, settings.area)
+    try:
+        loop.run_forever()
+    finally:
+        loop.close()
+    logging.info("%s: ended.", program)
+    return 0
--- /dev/null
+++ b/stagevale/programs/proxy.py
@@ -0,0 +1,243 @@
+"""The proxy: carries the traffic; serves front and readiness; diskless."""
+from stagevale import wire
+from stagevale.balancing import Target
+from stagevale.configuration.value import readValue
+from stagevale.placement import place
+from stagevale.programs import Daemon
+from stagevale.registrations import GONE, READY, lifeFromFields
+from stagevale.registrations.calls import CallStream
+from stagevale.relaying import Relay
+from stagevale.relaying.client import ClientStream
+from stagevale.relaying.endpoint import HOP_HEADERS, EndpointStream
+
+
+class Proxy(Daemon):
+    """The daemon on an edge machine."""
+
+    __slots__ = ("relay", "targets", "feeder", "feederHeardMs", "subscribed", "evacuatedBefore", "waitMs", "shunned",
+                 "livesHeard", "intervalMs", "frontServer")
+
+    def __init__(self, context, path):
+        super().__init__(context, "proxy", 0, path)
+        self.relay = Relay(context, self.board.address, EndpointStream, HOP_HEADERS)
+        self.targets = {}
+        self.feeder = None
+        self.feederHeardMs = 0.0
+        self.subscribed = False
+        self.shunned = {}
+        self.livesHeard = False
+        self.frontServer = None
+        self.intervalMs = context.settings.bounds.contactMs / 4.0
+        self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
+        self.membership.epochHook = self.epochHeard
+        self.membership.changeHooks.append(self.membersChanged)
+        self.board.on(wire.FEED, self.onFeed)
+        self.board.on(wire.FEED_PING, self.onFeedPing)
+        self.board.lostHooks.append(self.streamLost)
+
+    def begin(self):
+        super().begin()
+        listen = self.context.settings.listen
+        if "ready" in listen:
+            self.context.listen(listen["ready"], lambda: CallStream(self.context, self.readiness))
+        self.context.listen(listen["front"], lambda: ClientStream(self.relay), self.fronted)
+        self.tick()
+
+    def fronted(self, server):
+        self.frontServer = server
+
+    def ready(self):
+        """True once this proxy can serve: it has a configuration and knows endpoints, and doesn't leave."""
+        return bool(self.relay.digest.hosts) and self.livesHeard and not self.ending
+
+    def readiness(self, method, segments, query, body, answer):
+        if segments != ("v1", "readiness"):
+            return answer(404, {"error": "no such call"})
+        if method != "GET":
+            return answer(405, {"error": "want GET"})
+        ready = self.ready()
+        return answer(200 if ready else 503, {"ready": ready})
+
+    # the feeder
+
+    def feeders(self):
+        """Registries to be fed by: by the placement table, then by nearness, then the seeds."""
+        settings = self.context.settings
+        members = {member.address: member for member in self.membership.members("registry")}
+        table = list(self.membership.state.table.get("feeds-" + settings.area, ()))
+        rest = sorted(members.values(), key=lambda member: (member.area != settings.area,
+                                                            member.region != settings.region, member.address))
+        order = table + [member.address for member in rest]
+        order += [f"{ip}:{settings.innerPorts[0]}" for ip in settings.seeds]
+        order = list(dict.fromkeys(order))
+        nowMs = self.context.nowMs()
+        return sorted(order, key=lambda address: (nowMs < self.shunned.get(address, 0),
+                                                  not self.membership.reachable(address)))
+
+    def tick(self):
+        """Keeps the subscription alive, or looks for another feeder."""
+        nowMs = self.context.nowMs()
+        self.context.after(self.intervalMs * (1.0 if self.subscribed else 0.3), self.tick)
+        if self.ending:
+            return
+        if self.feeder is not None and nowMs - self.feederHeardMs > self.intervalMs * 1.9:
+            self.changeFeeder("silent")
+        if self.feeder is None:
+            feeders = self.feeders()
+            if not feeders:
+                return
+            self.feeder = feeders[0]
+            self.feederHeardMs = nowMs
+            self.subscribe(-1 if not self.relay.digest.hosts else self.relay.digest.serial, True)
+        else:
+            best = self.feeders()[0]
+            table = self.membership.state.table.get("feeds-" + self.context.settings.area, ())
+            if best != self.feeder and self.feeder not in table and best in table and self.subscribed:
+                self.board.cast(self.feeder, wire.UNSUBSCRIBE, [])
+                self.feeder = best
+                self.feederHeardMs = nowMs
+                self.subscribe(self.relay.digest.serial, True)
+                return
+            self.subscribe(self.relay.digest.serial, False)
+
+    def subscribe(self, serial, anew):
+        listen = self.context.settings.listen["front"]
+        settings = self.context.settings
+        self.board.cast(self.feeder, wire.SUBSCRIBE, [f"{listen[0]}:{listen[1]}", settings.area, settings.region,
+                                                      self.ready(), serial if not anew else min(serial, -1)])
+
+    def changeFeeder(self, why):
+        self.context.log.info("proxy: feeder %s is left: %s.", self.feeder, why)
+        self.shunned[self.feeder] = self.context.nowMs() + self.intervalMs * 4
+        feeder, self.feeder = self.feeder, None
+        self.subscribed = False
+        self.board.hangUp(feeder)
+
+    def streamLost(self, peer):
+        if peer == self.feeder:
+            self.changeFeeder("its stream was lost")
+
+    def onFeedPing(self, peer, body, reply):
+        serial, contact = body
+        if peer != self.feeder:
+            self.board.cast(peer, wire.UNSUBSCRIBE, [])
+            return
+        self.feederHeardMs = self.context.nowMs()
+        self.subscribed = True
+        if not contact:
+            self.board.cast(peer, wire.UNSUBSCRIBE, [])
+            self.changeFeeder("it is out of touch with the core")
+            return
+        if serial > self.relay.digest.serial:
+            self.board.cast(peer, wire.PULL, [self.relay.digest.serial])
+
+    def epochHeard(self, sender, epoch):
+        if self.feeder is not None and epoch > self.relay.digest.serial:
+            self.board.cast(self.feeder, wire.PULL, [self.relay.digest.serial])
+
+    def onFeed(self, peer, body, reply):
+        """News from a feeder: the register's value, lives, or both."""
+        hasValue, packed, rows = body
+        nowMs = self.context.nowMs()
+        if peer == self.feeder:
+            self.feederHeardMs = nowMs
+            self.subscribed = True
+        wasReady = self.ready()
+        digest = self.relay.digest
+        if hasValue:
+            value = readValue(packed)
+            if value.serial > digest.serial:
+                before = digest.evacuated
+                digest = digest.withValue(value)
+                for area in before - digest.evacuated:
+                    self.takenBack(area, digest, nowMs)
+                self.membership.epoch = value.serial
+                self.context.log.info("proxy: epoch %d is in force, configuration r%d.", value.serial, value.version)
+        for row in rows:
+            self.takeLife(lifeFromFields(row, nowMs), nowMs, digest)
+        if rows:
+            self.livesHeard = True
+            digest = digest.withTargets(self.tables())
+        elif not hasValue:
+            self.livesHeard = True
+        self.relay.digest = digest
+        if self.ready() != wasReady and self.feeder is not None:
+            self.subscribe(digest.serial, False)
+        self.relay.pumpAll()
+
+    def takenBack(self, area, digest, nowMs):
+        """Endpoints of a zone that is taken back count as cold until fresh word says otherwise."""
+        for target in self.targets.values():
+            service = digest.services.get(target.service)
+            if target.area == area and service is not None:
+                target.coldUntilMs = max(target.coldUntilMs, nowMs + service.warmupMs + self.context.settings.beatMs)
+
+    def takeLife(self, life, nowMs, digest):
+        """Takes in what is told of one life; drained, left and unsound ones get nothing new."""
+        target = self.targets.get(life.id)
+        if life.state == GONE:
+            if target is not None:
+                target.gone = True
+                del self.targets[life.id]
+                for stream in list(target.idle):
+                    stream.close()
+            return
+        if target is None:
+            region = self.context.settings.areas.get(life.area, "")
+            target = self.targets[life.id] = Target(life.id, life.service, life.address, life.area, region, life.slots)
+        if life.state != READY and target.state == READY:
+            target.state = life.state
+            for stream in list(target.idle):
+                stream.close()
+        target.slots = max(1, life.slots)
+        if life.coldMs > 0 and life.coldSeq >= target.coldSeq:
+            target.coldUntilMs = max(target.coldUntilMs, nowMs + life.coldMs + 200)
+        target.coldSeq = max(target.coldSeq, life.coldSeq)
+        if life.sound and not target.sound:
+            target.ejectUntilMs = 0.0
+        if not life.sound and target.sound:
+            for stream in list(target.idle):
+                stream.close()
+        target.sound = life.sound
+
+    def tables(self):
+        tables = {}
+        for target in self.targets.values():
+            tables.setdefault(target.service, []).append(target)
+        return {service: tuple(targets) for service, targets in tables.items()}
+
+    def membersChanged(self):
+        proxies = tuple((member.address, member.area, member.region) for member in self.membership.members("proxy"))
+        if proxies != self.relay.digest.proxies:
+            self.relay.digest = self.relay.digest.withProxies(proxies)
+
+    # the end
+
+    def end(self):
+        """Leaves in order: unready and left out, then answers what it has, then ends."""
+        self.relay.leaving = True
+        if self.feeder is not None:
+            self.subscribe(self.relay.digest.serial, False)
+        self.membership.leave()
+        self.membership.exit()
+        graceMs = self.context.settings.bounds.gracePeriodS * 1000.0
+        self.context.after(graceMs * 0.4, self.closeFront)
+        self.context.after(graceMs * 0.85, self.finish)
+
+    def closeFront(self):
+        """Takes no new streams; those that are idle end, the others end with their last answer."""
+        if self.frontServer is not None:
+            self.frontServer.close()
+        for stream in list(self.relay.streams):
+            if stream.idle():
+                stream.transport.close()
+        self.whenDone()
+
+    def whenDone(self):
+        for stream in list(self.relay.streams):
+            if stream.idle():
+                stream.transport.close()
+        if not self.relay.streams and not self.relay.running:
+            self.finish()
+        else:
+            self.context.after(50, self.whenDone)
--- /dev/null
+++ b/stagevale/programs/registry.py
@@ -0,0 +1,36 @@
+"""The registry: serves control and directory, knows the endpoints, feeds the proxies, relays orders."""
+from stagevale.programs import Daemon
+from stagevale.registrations.calls import CallStream, dispatcher
+from stagevale.registrations.desk import Desk
+
+
+class Registry(Daemon):
+    """The daemon beside the store on a core machine that all calls from outside come to."""
+
+    __slots__ = ("desk", "dispatch")
+
+    def __init__(self, context, path):
+        super().__init__(context, "registry", 0, path)
+        bounds = context.settings.bounds
+        self.desk = Desk(context, self.board, self.membership)
+        self.dispatch = dispatcher(context, self.desk, min(2, bounds.ttl_max_s))
+        from stagevale.placement import place
+        self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
+
+    def begin(self):
+        super().begin()
+        self.desk.start()
+        for name in ("control", "directory"):
+            address = self.context.settings.listen.get(name)
+            if address:
+                self.context.listen(address, lambda: CallStream(self.context, self.dispatch))
+
+    def end(self):
+        """Leaves in order: hands its parts over, then exits and ends."""
+        self.desk.stopping = True
+        self.membership.leave()
+        for part in list(self.desk.owners):
+            if self.desk.owners[part][0] == self.board.address:
+                del self.desk.owners[part]
+        graceMs = self.context.settings.bounds.gracePeriodS * 1000.0
+        self.context.after(graceMs * 0.4, self.finish)
--- /dev/null
+++ b/stagevale/registrations/desk.py
@@ -0,0 +1,570 @@
+"""The registry's desk: takes beats and leaves, spreads news along placement, feeds the proxies, repairs."""
+from stagevale import wire
+from stagevale.ballots import Round, Voter, asBallot, majority
+from stagevale.configuration.value import readValue
+from stagevale.membership.state import AWAITING, COUNTED, LEAVING, UP
+from stagevale.placement import PARTS, partOf
+from stagevale.registrations import DRAINING, GONE, READY, Life, Lives, lifeFromFields
+
+UNHEARD_BEATS = 2.6
+
+
+class Subscriber:
+    """A proxy that this registry feeds."""
+
+    __slots__ = ("address", "front", "area", "region", "ready", "serial", "heardMs", "waiting")
+
+    def __init__(self, address, front, area, region, ready, serial, heardMs):
+        self.address = address
+        self.front = front
+        self.area = area
+        self.region = region
+        self.ready = ready
+        self.serial = serial
+        self.heardMs = heardMs
+        self.waiting = False
+
+
+class Desk:
+    """One registry's knowledge of endpoints, proxies and the chosen configuration, and how it spreads."""
+
+    __slots__ = ("context", "board", "membership", "lives", "value", "valueHeardMs", "subscribers", "attached",
+                 "pingHeardMs", "voter", "owners", "rounds", "life", "heardIds", "pulling", "intervalMs", "ports",
+                 "startedMs", "stopping", "movesRunning", "roundNo")
+
+    def __init__(self, context, board, membership):
+        self.context = context
+        self.board = board
+        self.membership = membership
+        self.lives = Lives()
+        self.value = None
+        self.valueHeardMs = -1e12
+        self.subscribers = {}
+        self.attached = {}
+        self.pingHeardMs = {}
+        self.voter = Voter()
+        self.owners = {}
+        self.rounds = {}
+        self.roundNo = 0
+        self.life = f"{context.random.getrandbits(32):08x}"
+        self.heardIds = {}
+        self.pulling = False
+        self.intervalMs = context.settings.bounds.contactMs / 4.0
+        self.ports = context.settings.innerPorts
+        self.startedMs = context.nowMs()
+        self.stopping = False
+        self.movesRunning = set()
+        for kind, handler in ((wire.LIVES, self.onLives), (wire.HEARD, self.onHeard), (wire.PING, self.onPing),
+                              (wire.PART_WANTED, self.onPartWanted), (wire.CANVASS, self.onCanvass),
+                              (wire.HANDOFF, self.onHandoff), (wire.CHOSEN, self.onChosen),
+                              (wire.BEACON, self.onBeacon), (wire.SUBSCRIBE, self.onSubscribe),
+                              (wire.UNSUBSCRIBE, self.onUnsubscribe), (wire.PULL, self.onPull),
+                              (wire.ATTACHED, self.onAttached), (wire.READ_VALUE, self.onValueWanted)):
+            board.on(kind, handler)
+        board.lostHooks.append(self.streamLost)
+        membership.changeHooks.append(self.placementChanged)
+        membership.epochHook = self.epochHeard
+
+    def start(self):
+        self.context.after(self.intervalMs * 0.3, self.tick)
+        self.context.after(self.intervalMs * 0.1, self.pullValue)
+
+    # who keeps what
+
+    def registries(self):
+        return [member for member in self.membership.members("registry", (0, UP, LEAVING))]
+
+    def groupOf(self, part):
+        """The members that keep a part: by the placement table, or the shared seeds before there is one."""
+        group = self.membership.state.table.get(part)
+        if group:
+            return group
+        return tuple(f"{ip}:{self.ports[0]}" for ip in self.context.settings.seeds)
+
+    def regionOf(self, address):
+        member = self.membership.state.members.get(address)
+        return member.region if member is not None else ""
+
+    def inContact(self):
+        """True while this registry hears a majority of the core machines, itself counted."""
+        nowMs = self.context.nowMs()
+        machines = {member.machine for member in self.registries()}
+        machines.add(self.membership.me.machine)
+        limitMs = self.intervalMs * 2.3
+        near = {address.rpartition(":")[0] for address, heardMs in self.pingHeardMs.items() if nowMs - heardMs < limitMs}
+        near.add(self.membership.me.machine)
+        return len(near & machines) * 2 > len(machines)
+
+    # news of lives
+
+    def beat(self, id, table, answer):
+        """A heartbeat; `answer(status, body)` is called once it is taken, or refused."""
+        nowMs = self.context.nowMs()
+        details, status = table["details"], table["status"]
+        comer = Life(id, details["service"], table["address"], details["zone"], details["slots"],
+                     DRAINING if status["state"] == "draining" else READY, status["callSeq"], 0,
+                     status["callSeq"] if status["coldLeftMs"] > 0 else 0, status["coldLeftMs"], nowMs)
+        known = self.lives.byId.get(id)
+        if known is not None and comer.coldSeq and known.coldSeq and self.coldLeftMs(known, nowMs) > 0 \
+                and comer.coldMs <= self.coldLeftMs(known, nowMs) + self.intervalMs:
+            comer.coldSeq = known.coldSeq
+        self.takeIn(comer, answer)
+
+    def coldLeftMs(self, life, nowMs):
+        return life.coldMs - (nowMs - life.heardMs)
+
+    def leave(self, id, answer):
+        """An endpoint's leave; an unknown one is taken as gone already."""
+        known = self.lives.byId.get(id)
+        if known is None:
+            answer(200, {})
+            return
+        self.takeIn(Life(id, known.service, known.address, known.area, known.slots, GONE, known.callSeq, 0, 0, 0,
+                         self.context.nowMs()), answer)
+
+    def takeIn(self, comer, answer):
+        nowMs = self.context.nowMs()
+        if not self.inContact() and nowMs - self.startedMs > self.intervalMs * 2:
+            answer(503, {"error": "out of touch with the core"})
+            return
+        news = self.lives.merge(comer, nowMs)
+        if news is None:
+            part = partOf(comer.service)
+            self.heardIds.setdefault(part, {})[comer.id] = comer.callSeq
+            known = self.lives.byId[comer.id]
+            if known.state == READY or comer.state == READY:
+                answer(200, self.beatAnswer(comer))
+                return
+            news = known
+        self.spread([news], None if news.state == READY else answer)
+        if news.state == READY:
+            answer(200, self.beatAnswer(comer))
+
+    def beatAnswer(self, life):
+        """Names a registry of the endpoint's own area for later beats, where this one is of another."""
+        if life.area == self.membership.me.area or "control" not in self.context.settings.listen:
+            return {}
+        port = self.context.settings.listen["control"][1]
+        for member in self.registries():
+            if member.area == life.area and self.membership.reachable(member.address):
+                return {"beatTarget": f"{member.machine}:{port}"}
+        return {}
+
+    def spread(self, news, answer):
+        """Brings news to the group of its part and on to the proxies; `answer` waits for the group's majority."""
+        nowMs = self.context.nowMs()
+        self.feed(news)
+        byPart = {}
+        for life in news:
+            byPart.setdefault(partOf(life.service), []).append(life)
+        for part, lives in byPart.items():
+            group = self.groupOf(part)
+            others = [address for address in group if address != self.board.address]
+            rows = [life.fields(nowMs) for life in lives]
+            held = Round((0, ""), group)
+            if self.board.address in group:
+                held.count(self.board.address, True, (0, ""))
+                self.passOn(part, lives)
+            if answer is None:
+                for address in others:
+                    self.board.cast(address, wire.LIVES, [rows, 0])
+                continue
+
+            def answered(peer, reply, problem, held=held):
+                if held.over:
+                    return
+                held.count(peer, problem is None and reply is not None, (0, ""))
+                if held.won():
+                    held.over = True
+                    answer(200, {})
+                elif held.lost():
+                    held.over = True
+                    answer(503, {"error": "the part's group can't be reached"})
+            for address in others:
+                self.board.call(address, wire.LIVES, [rows, 0], self.intervalMs * 0.7,
+                                lambda reply, problem, peer=address: answered(peer, reply, problem))
+
+    def passOn(self, part, lives):
+        """A member of a part's group passes news to the registries of its region, and the owner to the rest."""
+        nowMs = self.context.nowMs()
+        group = self.groupOf(part)
+        regions = {self.regionOf(address) for address in group if self.membership.reachable(address)}
+        mine = self.membership.me.region
+        rows = [life.fields(nowMs) for life in lives]
+        for member in self.registries():
+            if member.address in group or member.address == self.board.address:
+                continue
+            if member.region == mine or (member.region not in regions and self.owns(part)):
+                self.board.cast(member.address, wire.LIVES, [rows, 1])
+
+    def onLives(self, peer, body, reply):
+        rows, passedOn = body
+        nowMs = self.context.nowMs()
+        byPart = {}
+        news = []
+        for row in rows:
+            after = self.lives.merge(lifeFromFields(row, nowMs), nowMs)
+            if after is not None:
+                news.append(after)
+                byPart.setdefault(partOf(after.service), []).append(after)
+        if news:
+            self.feed(news)
+            if not passedOn:
+                for part, lives in byPart.items():
+                    if self.board.address in self.groupOf(part):
+                        self.passOn(part, lives)
+        if reply is not None:
+            reply(1)
+
+    def onHeard(self, peer, body, reply):
+        """Which unchanged lives another registry has heard."""
+        nowMs = self.context.nowMs()
+        back = []
+        for id, callSeq in body:
+            known = self.lives.byId.get(id)
+            if known is None:
+                continue
+            comer = Life(id, known.service, known.address, known.area, known.slots, READY, callSeq, 0, 0, 0, nowMs)
+            after = self.lives.merge(comer, nowMs)
+            if after is not None:
+                back.append(after)
+        if back:
+            self.spread(back, None)
+
+    def feed(self, news):
+        """Pushes lives to the proxies that this registry feeds."""
+        if not self.subscribers:
+            return
+        nowMs = self.context.nowMs()
+        rows = [life.fields(nowMs) for life in news]
+        for subscriber in self.subscribers.values():
+            if not subscriber.waiting:
+                self.board.cast(subscriber.address, wire.FEED, [0, b"", rows])
+
+    # owners of parts
+
+    def owns(self, part):
+        return self.owners.get(part, (None, 0))[0] == self.board.address
+
+    def canvass(self):
+        """Runs for the parts of whose group this registry is the first that may, where the duty is vacant."""
+        vacant = []
+        for part in PARTS:
+            group = self.groupOf(part)
+            if self.board.address not in group or self.stopping:
+                continue
+            owner = self.owners.get(part, (None, 0))[0]
+            if owner in group and (owner == self.board.address or self.membership.reachable(owner)
+                                   and self.live(owner)):
+                continue
+            able = [address for address in group
+                    if address == self.board.address or (self.membership.reachable(address) and self.live(address))]
+            if able and able[0] == self.board.address:
+                vacant.append(part)
+        for part in vacant:
+            group = self.groupOf(part)
+            self.roundNo = max(self.roundNo, self.voter.promised.get(part, (0, ""))[0]) + 1
+            ballot = (self.roundNo, f"{self.board.address}#{self.life}")
+            running = Round(ballot, group)
+
+            def answered(peer, answer, problem, running=running, part=part, ballot=ballot):
+                if running.over:
+                    return
+                if problem is not None or answer is None:
+                    running.count(peer, False, (0, ""))
+                else:
+                    running.count(peer, answer[0], asBallot(answer[1]))
+                    self.roundNo = max(self.roundNo, answer[1][0])
+                if running.won():
+                    running.over = True
+                    self.owners[part] = (self.board.address, ballot)
+                    self.context.log.info("registry: won the duty for %s.", part)
+                elif running.lost():
+                    running.over = True
+            for address in group:
+                self.board.call(address, wire.CANVASS, [part, list(ballot)], self.intervalMs * 0.6,
+                                lambda answer, problem, peer=address, answered=answered: answered(peer, answer, problem))
+
+    def live(self, address):
+        return self.context.nowMs() - self.pingHeardMs.get(address, -1e12) < self.intervalMs * 2.5
+
+    def onCanvass(self, peer, body, reply):
+        part, ballot = body[0], asBallot(body[1])
+        promised, highest = self.voter.canvass(part, ballot)
+        if promised:
+            self.owners[part] = (ballot[1].partition("#")[0], ballot)
+        reply([promised, list(highest)])
+
+    def judge(self):
+        """The owner of a part declares lives unsound that no registry has heard for some beats."""
+        nowMs = self.context.nowMs()
+        if not self.inContact() or nowMs - self.startedMs < self.context.settings.beatMs * 4:
+            return
+        limitMs = self.context.settings.beatMs * UNHEARD_BEATS
+        unheard = []
+        for part in PARTS:
+            if not self.owns(part):
+                continue
+            for life in list(self.lives.parts.get(part, {}).values()):
+                if life.state == GONE or not life.sound or nowMs - life.heardMs < limitMs:
+                    continue
+                unheard.append(Life(life.id, life.service, life.address, life.area, life.slots, life.state,
+                                    life.callSeq, life.callSeq, life.coldSeq, life.coldMs, life.heardMs))
+        news = []
+        for life in unheard:
+            known = self.lives.byId[life.id]
+            heardMs = known.heardMs
+            after = self.lives.merge(life, nowMs)
+            self.lives.byId[life.id].heardMs = heardMs
+            if after is not None:
+                news.append(after)
+                self.context.log.info("registry: %s of %s is unheard.", life.id, life.service)
+        if news:
+            self.spread(news, None)
+
+    # rounds
+
+    def tick(self):
+        self.context.after(self.intervalMs * self.context.random.uniform(0.95, 1.05), self.tick)
+        nowMs = self.context.nowMs()
+        settings = self.context.settings
+        self.lives.forget(nowMs - settings.bounds.contactMs * 10, nowMs - settings.bounds.contactMs * 60)
+        marks = [self.lives.mark(part) for part in PARTS]
+        serial = self.value.serial if self.value else -1
+        for member in self.registries():
+            if member.address != self.board.address:
+                self.board.cast(member.address, wire.PING, [serial, marks, 0])
+        for part, ids in self.heardIds.items():
+            for address in self.groupOf(part):
+                if address != self.board.address and ids:
+                    self.board.cast(address, wire.HEARD, [[id, seq] for id, seq in ids.items()])
+        self.heardIds = {}
+        self.canvass()
+        self.judge()
+        self.moveParts()
+        contact = self.inContact()
+        for subscriber in list(self.subscribers.values()):
+            if nowMs - subscriber.heardMs > self.intervalMs * 3.5:
+                self.drop(subscriber.address)
+                continue
+            self.board.cast(subscriber.address, wire.FEED_PING, [serial, 1 if contact else 0])
+        if self.value is None:
+            self.pullValue()
+
+    def onPing(self, peer, body, reply):
+        serial, marks, echo = body
+        nowMs = self.context.nowMs()
+        self.pingHeardMs[peer] = nowMs
+        if serial > (self.value.serial if self.value else -1):
+            self.board.call(peer, wire.READ_VALUE, [], self.intervalMs, self.gotValue)
+        member = self.membership.state.members.get(peer)
+        near = member is not None and member.region == self.membership.me.region
+        if near or self.context.random.random() < 0.25:
+            wanted = [number for number, part in enumerate(PARTS)
+                      if number < len(marks) and marks[number] != self.lives.mark(part)]
+            if wanted:
+                rows = [row for number in wanted for row in self.lives.rows(PARTS[number], nowMs)]
+                self.board.call(peer, wire.PART_WANTED, [wanted, rows], self.intervalMs,
+                                lambda answer, problem: problem is None and answer is not None
+                                and self.onLives(peer, [answer, 1], None))
+
+    def onPartWanted(self, peer, body, reply):
+        """Repair: takes what the other keeps of some parts and hands over what is kept here."""
+        wanted, rows = body
+        nowMs = self.context.nowMs()
+        self.onLives(peer, [rows, 1], None)
+        reply([row for number in wanted for row in self.lives.rows(PARTS[number], nowMs)])
+
+    def placementChanged(self):
+        self.context.soon(self.moveParts)
+
+    def moveParts(self):
+        """Hands over the parts that pending moves take from this registry."""
+        for move in self.membership.state.moves:
+            if move.giver != self.board.address or move.status != AWAITING or move.key() in self.movesRunning:
+                continue
+            self.movesRunning.add(move.key())
+
+            def ready(answer, problem, move=move):
+                self.movesRunning.discard(move.key())
+                if problem is None and answer:
+                    self.membership.completeMove(move)
+            self.board.call(move.taker, wire.HANDOFF, [move.part, self.lives.rows(move.part, self.context.nowMs())],
+                            self.intervalMs, ready)
+        if self.stopping:
+            mine = any(self.board.address in group for part, group in self.membership.state.table.items()
+                       if part in PARTS)
+            if not mine:
+                self.membership.exit()
+
+    def onHandoff(self, peer, body, reply):
+        part, rows = body
+        self.onLives(peer, [rows, 1], None)
+        reply(1)
+
+    # the configuration
+
+    def onChosen(self, peer, body, reply):
+        packed, others = body
+        for address in others:
+            if address != self.board.address:
+                self.board.cast(address, wire.CHOSEN, [packed, []])
+        self.takeValue(readValue(packed))
+
+    def takeValue(self, value):
+        if self.value is not None and value.serial <= self.value.serial:
+            return
+        self.value = value
+        self.membership.epoch = value.serial
+        for subscriber in self.subscribers.values():
+            self.feedValue(subscriber)
+
+    def feedValue(self, subscriber):
+        if self.value is not None and subscriber.serial < self.value.serial and not subscriber.waiting:
+            subscriber.serial = self.value.serial
+            self.board.cast(subscriber.address, wire.FEED, [1, self.value.packed, []])
+
+    def onBeacon(self, peer, body, reply):
+        serial = body[1]
+        if self.value is not None and serial <= self.value.serial:
+            self.valueHeardMs = self.context.nowMs()
+        else:
+            self.pullValue()
+
+    def epochHeard(self, sender, epoch):
+        if self.value is None or epoch > self.value.serial:
+            self.pullValue()
+
+    def stores(self):
+        """Stores to ask: the one beside this registry first, then those of members, then the seeds' ones."""
+        addresses = [f"{self.membership.me.machine}:{self.ports[1 - 1] + 1}"]
+        members = [member for member in self.membership.members("store") if self.membership.reachable(member.address)]
+        members.sort(key=lambda member: member.region != self.membership.me.region)
+        addresses += [member.address for member in members]
+        addresses += [f"{ip}:{self.ports[0] + 1}" for ip in self.context.settings.seeds]
+        return list(dict.fromkeys(addresses))
+
+    def pullValue(self, then=None):
+        """Reads the value from the stores, confirmed by a majority."""
+        if self.pulling and then is None:
+            return
+        self.pulling = True
+
+        def answered(answer, problem):
+            self.pulling = False
+            if problem is None and answer and answer[0] == 200:
+                self.takeValue(readValue(answer[1]))
+                self.valueHeardMs = self.context.nowMs()
+                if then is not None:
+                    then(True)
+            elif then is not None:
+                then(False)
+        self.askStores(wire.READ_VALUE, [False], answered, self.stores()[:3], self.intervalMs * 0.9)
+
+    def askStores(self, kind, body, done, addresses, cutoffMs):
+        """Asks one store after the other until one gives a clear answer."""
+        def answered(answer, problem):
+            if (problem is not None or not answer or answer[0] == 503) and len(addresses) > 1:
+                self.askStores(kind, body, done, addresses[1:], cutoffMs)
+            else:
+                done(answer, problem)
+        self.board.call(addresses[0], kind, body, cutoffMs, answered)
+
+    def gotValue(self, answer, problem):
+        if problem is None and answer:
+            self.takeValue(readValue(answer))
+
+    def onValueWanted(self, peer, body, reply):
+        reply(self.value.packed if self.value else b"")
+
+    def order(self, order, payload, answer):
+        """An operator's order, relayed to the store."""
+        def answered(reply, problem):
+            if problem is None and reply:
+                answer(reply[0], reply[1])
+            else:
+                answer(503, f"no store answers: {problem}")
+        self.askStores(wire.ORDER, [order, payload, False], answered, self.stores()[:3],
+                       self.context.settings.bounds.ackDeadlineMs * 0.23)
+
+    # proxies
+
+    def onSubscribe(self, peer, body, reply):
+        front, area, region, ready, serial = body
+        nowMs = self.context.nowMs()
+        known = self.subscribers.get(peer)
+        fresh = known is None or serial < 0
+        if known is None or known.ready != ready or nowMs - self.attached.get(peer, (0, "", "", False, 0))[4] > self.intervalMs * 2:
+            self.announce(peer, front, area, region, ready)
+        if known is not None and not fresh:
+            known.heardMs, known.ready = nowMs, ready
+            if reply is not None:
+                reply(1)
+            return
+        subscriber = Subscriber(peer, front, area, region, ready, serial, nowMs)
+        self.subscribers[peer] = subscriber
+        if reply is not None:
+            reply(1)
+        if serial < 0 and nowMs - self.valueHeardMs > self.intervalMs * 1.5:
+            subscriber.waiting = True
+            self.pullValue(lambda read: self.welcome(subscriber, read))
+        else:
+            self.welcome(subscriber, True)
+
+    def welcome(self, subscriber, read):
+        """Sends a new subscriber all lives, and the value once a majority has confirmed it."""
+        if self.subscribers.get(subscriber.address) is not subscriber:
+            return
+        subscriber.waiting = False
+        nowMs = self.context.nowMs()
+        rows = [row for part in PARTS for row in self.lives.rows(part, nowMs)]
+        if read and self.value is not None and subscriber.serial < self.value.serial:
+            subscriber.serial = self.value.serial
+            self.board.cast(subscriber.address, wire.FEED, [1, self.value.packed, rows])
+        else:
+            self.board.cast(subscriber.address, wire.FEED, [0, b"", rows])
+
+    def announce(self, proxy, front, area, region, ready):
+        """Tells the other registries that a proxy is fed and whether it is ready."""
+        self.attached[proxy] = (front, area, region, ready, self.context.nowMs())
+        for member in self.registries():
+            if member.address != self.board.address:
+                self.board.cast(member.address, wire.ATTACHED, [proxy, front, area, region, ready])
+
+    def onAttached(self, peer, body, reply):
+        proxy, front, area, region, ready = body
+        self.attached[proxy] = (front, area, region, ready, self.context.nowMs())
+
+    def onUnsubscribe(self, peer, body, reply):
+        self.drop(peer)
+        if reply is not None:
+            reply(1)
+
+    def drop(self, proxy):
+        subscriber = self.subscribers.pop(proxy, None)
+        if subscriber is not None:
+            self.announce(proxy, subscriber.front, subscriber.area, subscriber.region, False)
+
+    def streamLost(self, peer):
+        if peer in self.subscribers:
+            self.drop(peer)
+
+    def onPull(self, peer, body, reply):
+        subscriber = self.subscribers.get(peer)
+        if subscriber is not None:
+            subscriber.serial = body[0]
+            self.feedValue(subscriber)
+
+    def resolve(self, area, region):
+        """The fronts for a client of this area: ready, near ones first."""
+        nowMs = self.context.nowMs()
+        limitMs = self.intervalMs * 5
+        ready = [(front, itsArea, itsRegion) for proxy, (front, itsArea, itsRegion, isReady, heardMs)
+                 in self.attached.items() if isReady and front and nowMs - heardMs < limitMs]
+        if not region:
+            region = self.context.settings.areas.get(area, "")
+        here = sorted(front for front, itsArea, _ in ready if itsArea == area)
+        if here:
+            return here
+        near = sorted(front for front, _, itsRegion in ready if itsRegion == region)
+        return near or sorted(front for front, _, _ in ready)[:64]
--- /dev/null
+++ b/stagevale/relaying/__init__.py
@@ -0,0 +1,335 @@
+"""The way of a job: read, routed, offered to an endpoint, answered."""
+from stagevale.balancing import Chooser
+from stagevale.balancing.budget import Budget
+from stagevale.balancing.digest import emptyDigest
+
+SHED_SHARE = 0.2
+RETRY_SHARE = 0.12
+
+
+class Job:
+    """One job of a client, from its last byte until its answer."""
+
+    __slots__ = ("stream", "parser", "method", "target", "host", "path", "headers", "body", "attemptId", "deadlineMs",
+                 "startMs", "cutoffMs", "route", "service", "tries", "tried", "answer", "closes", "begun", "carrier",
+                 "timer", "offered", "sentMs", "wasQueued", "expectedMs", "ran", "lastAnswer")
+
+    def __init__(self, stream, parser, request, body, startMs):
+        self.stream = stream
+        self.parser = parser
+        self.method = request.method if request else b""
+        self.target = request.target if request else b""
+        self.headers = list(request.headers.raw_items()) if request else []
+        self.body = body
+        self.startMs = startMs
+        self.cutoffMs = startMs
+        self.route = None
+        self.service = None
+        self.tries = 0
+        self.tried = ()
+        self.answer = None
+        self.closes = False
+        self.begun = False
+        self.carrier = None
+        self.timer = None
+        self.offered = False
+        self.sentMs = 0.0
+        self.wasQueued = False
+        self.expectedMs = None
+        self.ran = False
+        self.lastAnswer = None
+        self.attemptId = None
+        self.deadlineMs = None
+        self.host = self.path = ""
+
+
+class Relay:
+    """Carries jobs between clients' streams and endpoints' streams."""
+
+    __slots__ = ("context", "digest", "chooser", "budgets", "waiting", "streams", "leaving", "running", "dropOld",
+                 "hopHeaders", "makeStream")
+
+    def __init__(self, context, address, makeStream, hopHeaders):
+        self.context = context
+        self.digest = emptyDigest()
+        self.chooser = Chooser(context, address)
+        self.budgets = {}
+        self.waiting = {}
+        self.streams = set()
+        self.leaving = False
+        self.running = 0
+        self.makeStream = makeStream
+        self.hopHeaders = hopHeaders | {b"deadline-ms", b"expect-instance", b"expect"}
+
+    def read(self, job):
+        """Finds what a job asks for; one that can't go on gets its answer here."""
+        host, named = b"", set()
+        kept = []
+        for name, value in job.headers:
+            lower = name.lower()
+            if lower == b"connection":
+                named.update(token.strip().lower() for token in value.split(b","))
+            elif lower == b"host":
+                host = value
+            elif lower == b"attempt-id":
+                job.attemptId = value
+            elif lower == b"deadline-ms":
+                job.deadlineMs = float(value) if value.isdigit() else None
+        named.discard(b"close")
+        named -= {b"host", b"attempt-id"}
+        for name, value in job.headers:
+            lower = name.lower()
+            if lower not in self.hopHeaders and lower not in named:
+                kept.append((name, value))
+        job.headers = kept
+        job.host = host.decode("latin-1").rpartition(":")[0].lower() if b":" in host else host.decode("latin-1").lower()
+        job.path = job.target.decode("latin-1").partition("?")[0]
+        digest = self.digest
+        if not job.path.startswith("/"):
+            self.own(job, 400, "the target must be a path")
+            return
+        if not digest.hosts:
+            self.own(job, 503, "no configuration yet", job.startMs)
+            return
+        job.route = digest.route(job.host, job.path)
+        if job.route is None:
+            self.own(job, 404, "no route")
+            return
+        if job.attemptId is None:
+            self.own(job, 400, "no Attempt-Id")
+            return
+        job.service = job.route.service(self.context.random)
+        waitMs = job.route.timeoutMs if job.deadlineMs is None else min(job.deadlineMs, job.route.timeoutMs)
+        job.cutoffMs = job.startMs + waitMs
+        self.budget(job.service).note(job.startMs)
+
+    def budget(self, service):
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = Budget(self.context.settings.bounds, self.context.nowMs())
+        return budget
+
+    def begin(self, job):
+        """Starts a job that has been read: a timer for its cutoff, then the first offer."""
+        job.begun = True
+        self.running += 1
+        job.timer = self.context.after(max(1.0, job.cutoffMs - self.context.nowMs()), self.cutOff, job)
+        self.offer(job)
+
+    def offer(self, job):
+        """Sends a job to the best endpoint, has it wait for one, or sheds it while shedding still is early."""
+        nowMs = self.context.nowMs()
+        target = self.chooser.choose(job, self.digest, nowMs)
+        if target is not None and nowMs + job.expectedMs * 0.5 > job.cutoffMs and not job.offered:
+            target = None
+        if target is None:
+            patienceMs = job.startMs + job.route.targetMs * SHED_SHARE - nowMs
+            if patienceMs <= 0 or job.tries > 0:
+                self.giveBack(job, "no endpoint can take it")
+                return
+            queue = self.waiting.setdefault(job.service, [])
+            queue.append(job)
+            queue.sort(key=lambda waiting: (waiting.route.priority, waiting.startMs))
+            self.context.after(patienceMs + 1, self.tired, job)
+            return
+        job.offered = True
+        job.tries += 1
+        job.wasQueued = target.load(nowMs) >= target.slots
+        target.outstanding += 1
+        if nowMs < target.coldUntilMs:
+            target.coldSent.append(nowMs)
+        if target.idle:
+            stream = target.idle.pop()
+            job.carrier = stream
+            stream.send(job)
+        else:
+            stream = self.makeStream(self, target)
+            job.carrier = stream
+            stream.open(job)
+
+    def tired(self, job):
+        """A job that no endpoint could take within its patience is shed."""
+        queue = self.waiting.get(job.service)
+        if queue and job in queue:
+            queue.remove(job)
+            self.giveBack(job, "no endpoint free in time")
+
+    def pump(self, service):
+        """An endpoint of this service has room: the next waiting job is offered."""
+        queue = self.waiting.get(service)
+        if queue:
+            self.offer(queue.pop(0))
+
+    def pumpAll(self):
+        """After a change of the digest every waiting job is looked at again."""
+        for service, queue in list(self.waiting.items()):
+            self.waiting[service] = []
+            for job in queue:
+                self.offer(job)
+
+    def sent(self, job, target):
+        """The job's bytes go out now."""
+        job.sentMs = self.context.nowMs()
+        if job.tries > 1:
+            self.budget(job.service).spend(job.sentMs)
+
+    def release(self, job, target):
+        target.outstanding -= 1
+        job.carrier = None
+        self.context.soon(self.pump, target.service)
+
+    def notSent(self, job, target, problem):
+        """Nothing of the job was written: it may go elsewhere whatever its kind."""
+        self.release(job, target)
+        nowMs = self.context.nowMs()
+        if problem is not None:
+            service = self.digest.services.get(target.service)
+            target.failed(nowMs, self.context.settings.bounds.contactMs / 8.0,
+                          service.warmupMs if service else 0, True)
+        if job.answer is not None:
+            return
+        job.tries -= 1
+        job.tried += (target.id,)
+        if len(job.tried) > 4:
+            self.giveBack(job, "no endpoint can be reached")
+            return
+        self.offer(job)
+
+    def broken(self, job, target, why, silent):
+        """The stream broke under the job: it may have run."""
+        self.release(job, target)
+        nowMs = self.context.nowMs()
+        target.failed(nowMs, self.context.settings.bounds.contactMs / 10.0, 0, False)
+        if job.answer is not None:
+            return
+        job.ran = True
+        if job.route.pure and self.again(job, target, nowMs):
+            return
+        self.context.log.debug("relay: %s at %s: %s.", job.route.name, target.address, why)
+        self.own(job, 502, "the endpoint's answer broke off")
+
+    def again(self, job, target, nowMs):
+        """Offers a job once more, where its route, the budget and its time allow."""
+        job.tried += (target.id,)
+        if job.tries >= job.route.maxAttempts or nowMs + self.chooser.workMs(job.route) * 0.5 > job.cutoffMs:
+            return False
+        if not self.budget(job.service).allows(nowMs, len(self.digest.proxies)):
+            return False
+        if self.chooser.choose(job, self.digest, nowMs) is None:
+            return False
+        self.offer(job)
+        return True
+
+    def answered(self, job, target, answer):
+        """A whole answer has come for the job."""
+        self.release(job, target)
+        nowMs = self.context.nowMs()
+        load = answer.fields.get(b"server-load")
+        if load:
+            numbers = load.split(b",")
+            if len(numbers) == 3 and all(number.strip().isdigit() for number in numbers):
+                target.told(int(numbers[0]), int(numbers[1]), nowMs)
+        if answer.fields.get(b"connection", b"").lower() == b"close" and target.open > 1:
+            pass
+        status = answer.status
+        notRun = b"not-run" in answer.fields or status == 421
+        if job.answer is not None:
+            return
+        if notRun:
+            if status == 421:
+                target.gone = True
+            elif status == 503:
+                target.others = max(target.others, target.slots * 3.0)
+                target.othersMs = nowMs
+            if self.again(job, target, nowMs):
+                return
+            self.giveBack(job, "endpoints turned it away")
+            return
+        job.ran = True
+        if 200 <= status < 300:
+            if b"server-seal" not in answer.fields or b"content-encoding" in answer.fields:
+                target.failed(nowMs, 0, 0, False)
+                if job.route.pure and self.again(job, target, nowMs):
+                    return
+                self.own(job, 502, "not the endpoint's own answer")
+                return
+            target.served()
+            if target.slots:
+                self.chooser.learn(job.route, target, nowMs - job.sentMs, job.wasQueued)
+        elif status >= 500 and job.route.pure and self.again(job, target, nowMs):
+            return
+        elif status in (408, 429, 503):
+            self.own(job, 502, "the endpoint failed")
+            return
+        self.finish(job, (status, answer.reason, answer.headers, answer.body))
+
+    def giveBack(self, job, why):
+        """Ends a job that no endpoint has run: the promise of a 503, or 502 where it may have run."""
+        if job.ran:
+            self.own(job, 502, why)
+        else:
+            self.own(job, 503, why, self.context.nowMs())
+
+    def own(self, job, status, why, shedMs=None):
+        """An answer of our own."""
+        headers = [("Content-Type", "text/plain")]
+        if job.attemptId:
+            headers.append((b"Attempt-Id", job.attemptId))
+        if shedMs is not None:
+            targetMs = job.route.targetMs if job.route else self.context.settings.bounds.contactMs / 4
+            waitMs = targetMs * RETRY_SHARE * self.context.random.uniform(0.8, 1.6)
+            headers.append(("Retry-After", f"{waitMs / 1000.0:.3f}"))
+        self.finish(job, (status, b"", headers, why.encode()))
+
+    def cutOff(self, job):
+        """The job's time is over: its endpoint, if any, is no longer waited for."""
+        if job.answer is not None:
+            return
+        queue = self.waiting.get(job.service)
+        if queue and job in queue:
+            queue.remove(job)
+            self.giveBack(job, "no endpoint free in time")
+            return
+        self.drop(job)
+        if job.offered:
+            self.own(job, 504, "no answer in time")
+        else:
+            self.giveBack(job, "no endpoint in time")
+
+    def drop(self, job):
+        """Takes a job off the endpoint's stream that carries it."""
+        carrier = job.carrier
+        if carrier is not None:
+            job.carrier = None
+            target = carrier.target
+            if carrier.job is job:
+                carrier.giveUp()
+                target.outstanding -= 1
+                self.context.soon(self.pump, target.service)
+
+    def abandon(self, job):
+        """The client has gone: a repeatable job ends, another runs on and its answer is dropped."""
+        if job.answer is not None:
+            return
+        job.answer = (None, b"", (), b"")
+        if not job.begun:
+            return
+        queue = self.waiting.get(job.service)
+        if queue and job in queue:
+            queue.remove(job)
+        if job.timer is not None:
+            job.timer.cancel()
+        self.running -= 1
+        if job.route.pure:
+            self.drop(job)
+
+    def finish(self, job, answer):
+        """Sets the job's answer and has its stream write what is due."""
+        if job.answer is not None:
+            return
+        job.answer = answer
+        if job.timer is not None:
+            job.timer.cancel()
+        if job.begun:
+            self.running -= 1
+            job.stream.flush()
--- /dev/null
+++ b/stagevale/wire/__init__.py
@@ -0,0 +1,97 @@
+"""Messages between the system's own daemons: flexbuffers (the schema-less part of flatbuffers), framed."""
+import struct
+import zlib
+
+from flatbuffers import flexbuffers
+
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+
+ANSWER = 0
+HELLO = 1
+OVERVIEW = 10
+STATE = 11
+STATE_WANTED = 12
+PREPARE = 20
+ACCEPT = 21
+CONFIRM = 22
+LEARN = 23
+CHOSEN = 24
+BEACON = 25
+ORDER = 26
+READ_VALUE = 27
+CANVASS = 30
+LIVES = 31
+HEARD = 32
+PING = 33
+PART_WANTED = 34
+HANDOFF = 35
+SUBSCRIBE = 40
+FEED = 41
+FEED_PING = 42
+PULL = 43
+UNSUBSCRIBE = 44
+ATTACHED = 45
+
+
+class WireProblem(Exception):
+    """A message that can't be read; carries the step and the peer."""
+
+    def __init__(self, step, peer, why):
+        super().__init__(f"{step} from {peer}: {why}")
+        self.step = step
+        self.peer = peer
+
+
+def pack(message):
+    """A message as bytes."""
+    return bytes(flexbuffers.Dumps(message))
+
+
+def unpack(data, step, peer):
+    """Bytes as a message: a list that begins with its kind. Raises WireProblem for anything else."""
+    try:
+        message = plain(flexbuffers.Loads(data))
+    except Exception as problem:
+        raise WireProblem(step, peer, repr(problem)) from None
+    if not isinstance(message, list) or not message or not isinstance(message[0], int):
+        raise WireProblem(step, peer, "not a message")
+    return message
+
+
+def plain(value):
+    if isinstance(value, list):
+        return [plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: plain(item) for key, item in value.items()}
+    if isinstance(value, (bytearray, memoryview)):
+        return bytes(value)
+    return value
+
+
+def squeeze(data):
+    """Bytes made smaller for the way across a region's border."""
+    return zlib.compress(data, 6)
+
+
+def unsqueeze(data):
+    """The bytes that `squeeze` was given."""
+    return zlib.decompress(data)
+
+
+def packAddress(address):
+    """`ip:port` as six bytes."""
+    ip, _, port = address.rpartition(":")
+    a, b, c, d = ip.split(".")
+    return struct.pack("!BBBBH", int(a), int(b), int(c), int(d), int(port))
+
+
+def unpackAddress(data):
+    """Six bytes as `ip:port`."""
+    a, b, c, d, port = struct.unpack("!BBBBH", data)
+    return f"{a}.{b}.{c}.{d}:{port}"
+
+
+def pair(address):
+    """`ip:port` as a pair for a socket."""
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
