--- /dev/null
+++ b/tests/simworld.py
@@ -0,0 +1,374 @@
+"""A simulated network, clock and disk for whole daemons, driven by simpy; every run with one seed is the same."""
+import random
+import zlib
+
+import simpy
+
+from stagevale.settings import readSettings
+
+
+class Log:
+    """Collects what daemons log, with the simulated time."""
+
+    def __init__(self, world, name):
+        self.world, self.name = world, name
+
+    def put(self, level, text, *values):
+        self.world.lines.append(f"{self.world.env.now:9.1f} {self.name} {level} {text % values if values else text}")
+
+    def debug(self, *a): self.put("debug", *a)
+    def info(self, *a): self.put("info", *a)
+    def warning(self, *a): self.put("warning", *a)
+    def error(self, *a): self.put("error", *a)
+
+
+class Timer:
+    __slots__ = ("off",)
+
+    def __init__(self):
+        self.off = False
+
+    def cancel(self):
+        self.off = True
+
+
+class SimTransport:
+    """One end of a stream."""
+
+    def __init__(self, world, mine, theirs, protocol, silenceMs, local):
+        self.world, self.mine, self.theirs, self.protocol = world, mine, theirs, protocol
+        self.silenceMs, self.local = silenceMs, local
+        self.other, self.closed, self.lastAt, self.held = None, False, 0.0, None
+
+    def is_closing(self):
+        return self.closed
+
+    def get_extra_info(self, name, default=None):
+        return default
+
+    def pause_reading(self):
+        self.held = self.held or []
+
+    def resume_reading(self):
+        held, self.held = self.held or [], None
+        for data in held:
+            self.protocol.data_received(data)
+
+    def at(self):
+        self.lastAt = max(self.lastAt, self.world.env.now + self.world.delay(self.mine, self.theirs))
+        return self.lastAt - self.world.env.now
+
+    def write(self, data):
+        if self.closed or not data:
+            return
+        if self.world.isCut(self.mine, self.theirs):
+            self.world.later(self.silenceMs, self.lose, OSError("timed out"))
+            return
+        self.world.later(self.at(), self.other.arrive, bytes(data))
+
+    def arrive(self, data):
+        if self.closed or not self.world.up(self.mine):
+            return
+        if self.held is not None:
+            self.held.append(data)
+        else:
+            self.protocol.data_received(data)
+
+    def close(self):
+        if not self.closed:
+            self.closed = True
+            self.world.later(self.at(), self.other.ended)
+            self.world.later(0, self.protocol.connection_lost, None)
+
+    def abort(self):
+        if not self.closed:
+            self.closed = True
+            self.world.later(self.at(), self.other.lose, ConnectionResetError("reset"))
+            self.world.later(0, self.protocol.connection_lost, None)
+
+    def ended(self):
+        if self.closed or not self.world.up(self.mine):
+            return
+        if not self.protocol.eof_received():
+            self.closed = True
+            self.protocol.connection_lost(None)
+
+    def lose(self, problem):
+        if not self.closed:
+            self.closed = True
+            if self.world.up(self.mine):
+                self.protocol.connection_lost(problem)
+
+
+class World:
+    """Machines by IP, their daemons, the links between them."""
+
+    def __init__(self, seed=1):
+        self.env = simpy.Environment()
+        self.random = random.Random(seed)
+        self.listeners, self.sockets, self.cuts, self.dead, self.disks = {}, {}, set(), set(), {}
+        self.transports, self.lines, self.stalled = [], [], set()
+        self.regions = {}
+
+    def later(self, delayMs, call, *args):
+        timer = Timer()
+        event = self.env.timeout(max(0.0, delayMs))
+        event.callbacks.append(lambda _: None if timer.off else call(*args))
+        return timer
+
+    def run(self, ms):
+        self.env.run(until=self.env.now + ms)
+
+    def until(self, condition, limitMs=30000, stepMs=20):
+        end = self.env.now + limitMs
+        while self.env.now < end:
+            if condition():
+                return True
+            self.run(stepMs)
+        return condition()
+
+    def delay(self, one, other):
+        here, there = self.regions.get(one), self.regions.get(other)
+        return 0.2 if one == other else 1.0 if here == there else 30.0
+
+    def isCut(self, one, other):
+        return frozenset((one, other)) in self.cuts
+
+    def cut(self, ones, others):
+        for one in ones:
+            for other in others:
+                if one != other:
+                    self.cuts.add(frozenset((one, other)))
+
+    def join(self):
+        self.cuts.clear()
+
+    def up(self, owner):
+        return owner not in self.dead
+
+    def kill(self, context):
+        """SIGKILL: the daemon's timers stop, its streams reset."""
+        context.alive = False
+        for address in [a for a, (c, _) in self.listeners.items() if c is context]:
+            del self.listeners[address]
+        for address in [a for a, (c, _) in self.sockets.items() if c is context]:
+            del self.sockets[address]
+        for transport in self.transports:
+            if transport.local is context and not transport.closed:
+                transport.closed = True
+                self.later(transport.at(), transport.other.lose, ConnectionResetError("reset"))
+
+
+class SimContext:
+    """The Context of one simulated daemon."""
+
+    def __init__(self, world, settings, name):
+        self.world, self.settings, self.alive, self.stopping = world, settings, True, False
+        self.random = random.Random(zlib.crc32(f"{name} {world.random.random()}".encode()))
+        self.log = Log(world, name)
+        self.loop = self
+        self.stopped = False
+
+    def stop(self):
+        self.stopped = True
+        self.world.kill(self)
+
+    def nowMs(self):
+        return self.world.env.now
+
+    def guarded(self, call, *args):
+        if self.alive:
+            call(*args)
+
+    def after(self, delayMs, call, *args):
+        return self.world.later(delayMs, self.guarded, call, *args)
+
+    def soon(self, call, *args):
+        self.world.later(0, self.guarded, call, *args)
+
+    def listen(self, address, factory, ready=None):
+        self.world.listeners[address] = (self, factory)
+
+    def datagrams(self, address, protocol):
+        self.world.sockets[address] = (self, protocol)
+        self.world.later(0, protocol.connection_made, SimDatagrams(self, address))
+
+    def connect(self, address, protocol, failed, timeoutMs, silenceMs):
+        world, mine = self.world, self.settings.ip
+
+        def arrive():
+            found = world.listeners.get(address)
+            if world.isCut(mine, address[0]):
+                self.after(timeoutMs, failed, TimeoutError("timed out"))
+                return
+            if found is None:
+                self.after(world.delay(mine, address[0]), failed, ConnectionRefusedError("refused"))
+                return
+            theirs, factory = found
+            far = SimTransport(world, address[0], mine, factory(), silenceMs, theirs)
+            near = SimTransport(world, mine, address[0], protocol, silenceMs, self)
+            far.other, near.other = near, far
+            world.transports += [far, near]
+            far.protocol.connection_made(far)
+            self.after(world.delay(mine, address[0]), protocol.connection_made, near)
+        self.after(world.delay(mine, address[0]), arrive)
+
+    def disk(self, work, done):
+        def step():
+            if self.settings.ip in self.world.stalled:
+                self.after(50, step)
+                return
+            try:
+                result, problem = work(), None
+            except Exception as caught:
+                result, problem = None, caught
+            self.after(1.0, done, result, problem)
+        self.after(1.0, step)
+
+
+class SimDatagrams:
+    def __init__(self, context, address):
+        self.context, self.address = context, address
+
+    def sendto(self, data, address):
+        world = self.context.world
+        if not self.context.alive or world.isCut(self.address[0], address[0]):
+            return
+
+        def arrive():
+            found = world.sockets.get(address)
+            if found is not None and found[0].alive:
+                found[1].datagram_received(data, self.address)
+        world.later(world.delay(self.address[0], address[0]), arrive)
+
+
+class MemoryDisk:
+    """A disk that keeps the last record that was saved."""
+
+    def __init__(self):
+        self.kept = None
+
+    def load(self):
+        return self.kept
+
+    def save(self, record):
+        self.kept = record
+
+
+SETTINGS = """
+[daemon]
+name = "{name}"
+ip = "{ip}"
+area = "{area}"
+region = "{region}"
+counted = {counted}
+firstStart = {first}
+dataPath = "/data"
+[streams]
+innerPorts = [7200, 7215]
+seeds = [{seeds}]
+[listen]
+{listen}
+[areas]
+a1 = "a"
+b1 = "b"
+c1 = "c"
+a2 = "a"
+b2 = "b"
+c2 = "c"
+[terms]
+beatMs = 1500
+[bounds]
+contactMs = 4000
+"""
+AREAS = ("a1", "b1", "c1", "a2", "b2", "c2")
+
+
+class Fleet:
+    """Six core machines in three regions, and as many proxies as asked for."""
+
+    def __init__(self, seed=1, proxies=0):
+        self.world = World(seed)
+        self.registries, self.stores, self.proxies = {}, {}, {}
+        for number, area in enumerate(AREAS):
+            self.world.regions[f"10.0.0.{number + 1}"] = area[0]
+            self.startCore(number, True)
+        for number in range(proxies):
+            self.world.regions[f"10.0.1.{number + 1}"] = AREAS[number % 6][0]
+            self.startProxy(number)
+
+    def settings(self, ip, area, listen, first):
+        seeds = ", ".join(f'"10.0.0.{n}:8000"' for n in (1, 2, 3))
+        return readSettings(SETTINGS.format(name=f"node-{ip}", ip=ip, area=area, region=area[0], seeds=seeds,
+                                            listen=listen, counted="true", first="true" if first else "false"))
+
+    def startCore(self, number, first):
+        self.startRegistry(number, first)
+        self.startStore(number, first)
+
+    def startRegistry(self, number, first=False):
+        from stagevale.programs.registry import Registry
+        ip = f"10.0.0.{number + 1}"
+        settings = self.settings(ip, AREAS[number], f'control = "{ip}:8000"\ndirectory = "{ip}:8001"', first)
+        daemon = Registry(SimContext(self.world, settings, f"registry-{number + 1}"), "/none")
+        self.registries[number] = daemon
+        daemon.begin()
+
+    def startStore(self, number, first=False):
+        from stagevale.configuration import Keeper
+        from stagevale.placement import place
+        from stagevale.programs import Daemon
+        ip = f"10.0.0.{number + 1}"
+        context = SimContext(self.world, self.settings(ip, AREAS[number], "", first), f"store-{number + 1}")
+        daemon = Daemon(context, "store", 1, "/none")
+        disk = self.world.disks.setdefault(ip, MemoryDisk())
+        daemon.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
+        keeper = Keeper(context, daemon.board, daemon.membership, disk)
+        self.stores[number] = keeper
+        daemon.begin()
+        keeper.start()
+
+    def startProxy(self, number):
+        from stagevale.programs.proxy import Proxy
+        ip = f"10.0.1.{number + 1}"
+        settings = self.settings(ip, AREAS[number % 6], f'front = "{ip}:9000"\nready = "{ip}:9001"', True)
+        daemon = Proxy(SimContext(self.world, settings, f"proxy-{number + 1}"), "/none")
+        self.proxies[number] = daemon
+        daemon.begin()
+
+    def killCore(self, number):
+        self.world.kill(self.registries[number].context)
+        self.world.kill(self.stores[number].context)
+
+    def wipe(self, number):
+        self.world.disks[f"10.0.0.{number + 1}"] = MemoryDisk()
+
+    def daemons(self):
+        return [daemon for daemon in list(self.registries.values()) + list(self.proxies.values())
+                if daemon.context.alive] + [keeper for keeper in self.stores.values() if keeper.context.alive]
+
+    def formed(self, count):
+        return all(len([m for m in daemon.membership.state.members.values() if m.state == 1]) == count
+                   and daemon.membership.converged() for daemon in self.daemons())
+
+    def owners(self):
+        return [number + 1 for number, keeper in self.stores.items()
+                if keeper.context.alive and keeper.ballot is not None and keeper.chosen is not None]
+
+    def order(self, number, order, payload, waitMs=3000):
+        """Sends an operator's order to one registry; returns (status, text), or None where none came."""
+        got = []
+        self.registries[number].desk.order(order, payload, lambda status, text: got.append((status, text)))
+        self.world.until(lambda: got, waitMs)
+        return got[0] if got else None
+
+    def insist(self, numbers, order, payload, limitMs=12000):
+        """Sends an order as the operator does, again and again, until there is a clear answer."""
+        end = self.world.env.now + limitMs
+        while self.world.env.now < end:
+            for number in numbers:
+                answer = self.order(number, order, payload, 1000)
+                if answer is not None and answer[0] != 503:
+                    return answer
+            self.world.run(200)
+        return None
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,156 @@
+"""Whole exchanges of the configuration register on a simulated network and disk."""
+import json
+
+from approval import approve
+from simworld import Fleet
+
+
+def config(version, parent, host="h.example", service="s"):
+    return json.dumps({"version": f"r{version}", "parentVersion": f"r{parent}" if parent else 0,
+                       "routes": [{"name": "r", "host": host, "pathPrefix": "/a/", "variant": "pure",
+                                   "timeoutMs": 1000, "service": service, "maxAttempts": 2}],
+                       "services": [{"name": "s", "maxConns": 10, "warmupS": 3, "coldPerS": 4}]})
+
+
+def formedFleet(seed=1, proxies=0):
+    fleet = Fleet(seed, proxies)
+    assert fleet.world.until(lambda: len(fleet.owners()) == 1 and fleet.formed(12 + proxies), 20000)
+    fleet.world.until(lambda: len(fleet.stores[fleet.owners()[0] - 1].chosen.group) == 5, 20000)
+    return fleet
+
+
+def test_group_grows_to_bear_two_losses():
+    fleet = formedFleet()
+    group = fleet.stores[fleet.owners()[0] - 1].chosen.group
+    assert len(group) == 5
+    assert {"10.0.0.1:7201", "10.0.0.2:7201", "10.0.0.3:7201"} < set(group)
+
+
+def test_orders_and_bad_configurations():
+    fleet = formedFleet()
+    lines = []
+    for words, payload in (
+            ("first", config(2, 0)), ("same again", config(2, 0)), ("cut short", config(5, 2)[:40]),
+            ("unknown service", config(5, 2, service="x")), ("no slash", config(5, 2).replace('"/a/"', '"a/"')),
+            ("no timeout", config(5, 2).replace("1000", "0")), ("not above", config(2, 2, host="o.example")),
+            ("stale parent", config(7, 1)), ("next", config(7, 2)), ("an old one again", config(2, 0))):
+        lines.append(f"{words}: {fleet.insist([0], 'replace', payload)[0]}")
+    lines.append(f"evacuate: {fleet.insist([3], 'evacuate', 'a1')}")
+    status, text = fleet.insist([5], "read", "")
+    lines.append(f"read: {status} {json.loads(text)['version']}")
+    approve("orders", lines)
+
+
+def test_two_racing_operators_one_wins():
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    answers = []
+    for number, host in ((1, "one.example"), (4, "two.example")):
+        fleet.registries[number].desk.order("replace", config(2, 1, host=host),
+                                            lambda status, text, host=host: answers.append((host, status)))
+    fleet.world.until(lambda: len(answers) == 2, 5000)
+    assert sorted(status for _, status in answers) == [200, 412]
+    winner = next(host for host, status in answers if status == 200)
+    assert json.loads(fleet.insist([2], "read", "")[1])["routes"][0]["host"] == winner
+
+
+def test_owner_killed_between_accept_and_answer():
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    owner = fleet.owners()[0] - 1
+    asked = (owner + 1) % 6
+    payload = config(2, 1)
+    fleet.registries[asked].desk.order("replace", payload, lambda status, text: None)
+    others = [keeper for number, keeper in fleet.stores.items() if number != owner]
+    assert fleet.world.until(lambda: any(k.accepted and k.accepted.version == 2 for k in others), 3000, 1)
+    fleet.killCore(owner)
+    fleet.wipe(owner)
+    alive = [number for number in range(6) if number != owner]
+    assert fleet.insist(alive, "replace", payload)[0] == 200
+    assert json.loads(fleet.insist(alive, "read", "")[1])["version"] == "r2"
+
+
+def test_wiped_stores_do_not_vote_before_they_have_learned():
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    holders = [n for n, k in fleet.stores.items() if k.accepted and k.accepted.version == 1][:2]
+    for number in range(6):
+        fleet.killCore(number)
+    for number in holders:
+        fleet.wipe(number)
+    for number in range(6):
+        fleet.startCore(number, False)
+    fleet.world.run(100)
+    assert all(fleet.stores[number].wiped for number in holders)
+    assert json.loads(fleet.insist(range(6), "read", "")[1])["version"] == "r1"
+    assert fleet.world.until(lambda: not any(fleet.stores[number].wiped for number in holders), 10000)
+    assert all(fleet.stores[number].accepted.version == 1 for number in holders)
+
+
+def test_majority_wiped_never_answers_with_less():
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    for number in range(6):
+        fleet.killCore(number)
+    for number in range(4):
+        fleet.wipe(number)
+    for number in range(6):
+        fleet.startCore(number, False)
+    fleet.world.run(8000)
+    assert fleet.order(0, "read", "", 1500) in (None, (503, "no owner in time"), (503, "no group known")) or \
+        fleet.order(0, "read", "", 1500)[0] == 503
+    assert all(fleet.stores[number].wiped for number in range(4))
+
+
+def test_restart_of_all_keeps_what_was_acknowledged():
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    assert fleet.insist([1], "evacuate", "b1")[0] == 200
+    for number in range(6):
+        fleet.killCore(number)
+    fleet.world.run(700)
+    for number in range(6):
+        fleet.startCore(number, False)
+    assert json.loads(fleet.insist(range(6), "read", "")[1])["version"] == "r1"
+    assert fleet.world.until(lambda: len(fleet.owners()) == 1, 10000)
+    assert fleet.stores[fleet.owners()[0] - 1].chosen.evacuated == ("b1",)
+
+
+def test_owner_cut_off_gives_no_false_refusal():
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    owner = fleet.owners()[0] - 1
+    ip = f"10.0.0.{owner + 1}"
+    rest = [f"10.0.0.{n}" for n in range(1, 7) if n != owner + 1]
+    fleet.world.cut([ip], rest)
+    others = [n for n in range(6) if n != owner]
+    assert fleet.insist(others, "replace", config(2, 1))[0] == 200
+    got = []
+    fleet.stores[owner].take("replace", config(3, 2), False, got.append)
+    fleet.world.run(3000)
+    assert got and got[0][0] == 503
+    fleet.world.join()
+    assert fleet.insist([owner], "replace", config(3, 2))[0] == 200
+
+
+def test_stalled_disk_of_the_owner_stalls_nobody():
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    owner = fleet.owners()[0] - 1
+    fleet.world.stalled.add(f"10.0.0.{owner + 1}")
+    startMs = fleet.world.env.now
+    assert fleet.insist([(owner + 1) % 6], "replace", config(2, 1))[0] == 200
+    assert fleet.world.env.now - startMs < 4000
+
+
+def test_even_cut_acknowledges_nothing():
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    group = [int(a.split(":")[0].split(".")[-1]) for a in fleet.stores[fleet.owners()[0] - 1].chosen.group]
+    few, many = group[:2], [n for n in range(1, 7) if n not in group[:2]]
+    fleet.world.cut([f"10.0.0.{n}" for n in few], [f"10.0.0.{n}" for n in many])
+    fleet.world.run(3000)
+    for number in few:
+        answer = fleet.order(number - 1, "replace", config(2, 1, host="few.example"), 2000)
+        assert answer is None or answer[0] == 503
+    assert fleet.insist([n - 1 for n in many], "replace", config(2, 1, host="many.example"))[0] == 200
