--- a/stagevale/relaying/__init__.py
+++ b/stagevale/relaying/__init__.py
@@ -47,7 +47,7 @@
     """Carries jobs between clients' streams and endpoints' streams."""
 
     __slots__ = ("context", "digest", "chooser", "budgets", "waiting", "streams", "leaving", "running", "dropOld",
-                 "hopHeaders", "makeStream")
+                 "hopHeaders", "makeStream", "bornMs")
 
     def __init__(self, context, address, makeStream, hopHeaders):
         self.context = context
@@ -57,6 +57,7 @@
         self.waiting = {}
         self.streams = set()
         self.leaving = False
+        self.bornMs = context.nowMs()
         self.running = 0
         self.makeStream = makeStream
         self.hopHeaders = hopHeaders | {b"deadline-ms", b"expect-instance", b"expect"}
@@ -106,7 +107,7 @@
     def budget(self, service):
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = Budget(self.context.settings.bounds, self.context.nowMs())
+            budget = self.budgets[service] = Budget(self.context.settings.bounds, self.bornMs)
         return budget
 
     def begin(self, job):
--- a/stagevale/relaying/client.py
+++ b/stagevale/relaying/client.py
@@ -90,6 +90,11 @@
                     self.request, self.body, self.size = event, [], 0
                     self.watch(self.relay.digest.limits.idleMs)
                     names = [name for name, _ in event.headers]
+                    if len(event.target) + sum(len(name) + len(value) + 4 for name, value in event.headers) \
+                            > self.relay.digest.limits.headerMaxBytes:
+                        self.lastRead = True
+                        self.ownAnswer(431, "the head is over the limit")
+                        return
                     if b"transfer-encoding" in names and b"content-length" in names:
                         self.lastRead = True
                         self.ownAnswer(400, "two lengths for one body")
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,161 @@
+"""Stand-ins for clients and endpoints: raw bytes in and out, on the simulated network."""
+import asyncio
+import json
+
+from simworld import SimContext, World
+from stagevale.balancing.digest import Digest, emptyDigest
+from stagevale.configuration.value import Value
+from stagevale.programs.proxy import Proxy
+from stagevale.registrations import READY, Life
+from stagevale.settings import readSettings
+
+PROXY_SETTINGS = """
+[daemon]
+name = "proxy"
+ip = "10.0.1.1"
+area = "a1"
+region = "a"
+firstStart = true
+[streams]
+innerPorts = [7200, 7215]
+seeds = ["10.0.0.1:8000"]
+[listen]
+front = "10.0.1.1:9000"
+ready = "10.0.1.1:9001"
+[areas]
+a1 = "a"
+a2 = "a"
+b1 = "b"
+"""
+
+
+class Endpoint:
+    """An endpoint that answers by a rule: rule(endpoint, head, body) gives bytes, or None for silence."""
+
+    def __init__(self, world, number, rule, area="a1", service="s"):
+        self.world, self.rule, self.number = world, rule, number
+        self.id, self.ip = f"i-{number}", f"10.9.0.{number}"
+        self.area, self.service = area, service
+        self.ran, self.heads, self.streams = [], [], []
+        world.regions[self.ip] = area[0]
+        self.alive = True
+        world.listeners[(self.ip, 80)] = (self, lambda: EndpointSide(self))
+
+    def life(self, state=READY, coldMs=0, seq=1):
+        return Life(self.id, self.service, f"{self.ip}:80", self.area, 3, state, seq, 0, seq if coldMs else 0, coldMs)
+
+
+class EndpointSide(asyncio.Protocol):
+    def __init__(self, endpoint):
+        self.endpoint, self.buffer = endpoint, b""
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.endpoint.streams.append(transport)
+
+    def data_received(self, data):
+        self.buffer += data
+        while b"\r\n\r\n" in self.buffer:
+            head, _, rest = self.buffer.partition(b"\r\n\r\n")
+            fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:])
+            fields = {name.lower(): value for name, value in fields.items()}
+            length = int(fields.get(b"content-length", 0))
+            if len(rest) < length:
+                return
+            body, self.buffer = rest[:length], rest[length:]
+            self.endpoint.heads.append(head.split(b"\r\n")[0].decode())
+            out = self.endpoint.rule(self.endpoint, fields, body)
+            delayMs = 20
+            if isinstance(out, tuple):
+                out, delayMs = out
+            if out == b"RESET":
+                self.endpoint.world.later(5, self.transport.abort)
+            elif out is not None:
+                self.endpoint.world.later(delayMs, self.transport.write, out)
+
+
+def good(endpoint, fields, body, text=b"fine", extra=b""):
+    """The whole answer of an endpoint that ran the job."""
+    id = fields[b"attempt-id"]
+    endpoint.ran.append(id.decode())
+    return (b"HTTP/1.1 200 OK\r\nAttempt-Id: " + id + b"\r\nServer-Seal: seal." + id + b"\r\nContent-Length: "
+            + str(len(text)).encode() + b"\r\n" + extra + b"\r\n" + text)
+
+
+class Client(asyncio.Protocol):
+    """A client's stream: sends raw bytes, keeps what comes back."""
+
+    def __init__(self, world):
+        self.world, self.got, self.closed = world, b"", False
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.got += data
+
+    def connection_lost(self, problem):
+        self.closed = True
+
+    def statuses(self):
+        return [part[:3].decode() for part in self.got.split(b"HTTP/1.1 ")[1:]]
+
+
+class Scene:
+    """One proxy with a given configuration and endpoints, without a core."""
+
+    def __init__(self, seed=1, routes=None):
+        self.world = World(seed)
+        self.world.regions["10.0.1.1"] = self.world.regions["10.7.0.1"] = "a"
+        self.context = SimContext(self.world, readSettings(PROXY_SETTINGS), "proxy")
+        self.proxy = Proxy(self.context, "/none")
+        self.proxy.begin()
+        self.endpoints = []
+        routes = routes or [route("pure", "/p/"), route("effectful", "/e/")]
+        config = {"version": "r1", "routes": routes,
+                  "services": [{"name": name, "maxConns": 50, "warmupS": 3, "coldPerS": 6} for name in ("s", "t")],
+                  "limits": {"headerMaxBytes": 2000, "bodyMaxBytes": 5000, "headerReadMs": 1000, "idleMs": 5000}}
+        self.value = Value(1, 1, json.dumps(config), (), (), {})
+        self.digest(self.value)
+
+    def digest(self, value):
+        self.proxy.relay.digest = self.proxy.relay.digest.withValue(value)
+        self.proxy.livesHeard = True
+        self.proxy.relay.digest = self.proxy.relay.digest.withProxies((("10.0.1.1:7200", "a1", "a"),))
+
+    def endpoint(self, rule=good, area="a1", service="s"):
+        endpoint = Endpoint(self.world, len(self.endpoints) + 1, rule, area, service)
+        self.endpoints.append(endpoint)
+        self.tell(endpoint.life())
+        return endpoint
+
+    def tell(self, life):
+        self.proxy.takeLife(life, self.world.env.now, self.proxy.relay.digest)
+        self.proxy.relay.digest = self.proxy.relay.digest.withTargets(self.proxy.tables())
+
+    def client(self, data=b""):
+        client = Client(self.world)
+        world = self.world
+        sender = type("Sender", (), {"alive": True})()
+        from simworld import SimTransport
+        context, factory = world.listeners[("10.0.1.1", 9000)]
+        far = SimTransport(world, "10.0.1.1", "10.7.0.1", factory(), 1000, context)
+        near = SimTransport(world, "10.7.0.1", "10.0.1.1", client, 1000, sender)
+        far.other, near.other = near, far
+        far.protocol.connection_made(far)
+        client.connection_made(near)
+        if data:
+            near.write(data)
+        return client
+
+
+def route(variant, prefix, **more):
+    return {"name": f"r-{variant}{prefix}", "host": "h.example", "pathPrefix": prefix, "variant": variant,
+            "timeoutMs": 2000, "targetMs": 400, "priority": 1, "service": "s", "maxAttempts": 2, **more}
+
+
+def job(path="/p/x", id="1", method="GET", body=b"", host="h.example", more=b""):
+    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1500\r\n".encode() + more
+    if body:
+        head += b"Content-Length: " + str(len(body)).encode() + b"\r\n"
+    return head + b"\r\n" + body
