Gossip beside and away each round: a dead member is suspected soon and evenly

Cause: with one target a round heartbeats came unevenly; phi's deviation grew and a killed store took 17 s to be suspected on the simulated fleet of the tests, with false suspicions between. Now one overview goes to the own area and one elsewhere; gaps count three expected ones at most. Tests: membership, registrations.

--- a/stagevale/membership/__init__.py
+++ b/stagevale/membership/__init__.py
@@ -121,7 +121,7 @@
         for member in self.others():
             suspicion = self.suspicions.get(member.address)
             if suspicion is None:
-                self.suspicions[member.address] = Suspicion(nowMs, self.intervalMs * 2)
+                self.suspicions[member.address] = Suspicion(nowMs, self.intervalMs * 1.5)
             elif suspicion.phi(nowMs) > THRESHOLD:
                 unreachable.add(member.address)
         unreachable = frozenset(unreachable)
@@ -242,8 +242,12 @@
         overview = None
         targets = set()
         if live:
-            near = [member for member in live if member.region == self.me.region]
-            chosen = random.choice(near) if near and random.random() < 0.7 else random.choice(live)
+            beside = [member for member in live if member.area == self.me.area]
+            away = [member for member in live if member.area != self.me.area]
+            near = [member for member in away if member.region == self.me.region]
+            if beside:
+                targets.add(random.choice(beside).address)
+            chosen = random.choice(near if near and random.random() < 0.5 else away or beside)
             targets.add(chosen.address)
             differing = [member for member in live
                          if self.rows.get(member.address, (0, 0, 0))[2] != self.state.mark]
@@ -323,7 +327,7 @@
             known = self.rows.get(address)
             if known is None or known[0] != uid or heartbeat > known[1]:
                 if known is None or known[0] != uid:
-                    self.suspicions[address] = Suspicion(nowMs, self.intervalMs * 2)
+                    self.suspicions[address] = Suspicion(nowMs, self.intervalMs * 1.5)
                 elif address in self.suspicions:
                     self.suspicions[address].heard(nowMs)
                 self.rows[address] = (uid, heartbeat, mark)
--- a/stagevale/membership/suspicion.py
+++ b/stagevale/membership/suspicion.py
@@ -17,7 +17,7 @@
 
     def heard(self, nowMs):
         """Notes that the member's heartbeat has advanced."""
-        self.gaps.append(min(nowMs - self.lastMs, self.gaps[0] * 6))
+        self.gaps.append(min(nowMs - self.lastMs, self.gaps[0] * 3))
         if len(self.gaps) > KEPT_GAPS:
             del self.gaps[1]
         self.lastMs = nowMs
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,141 @@
+"""Gossip, suspicion, the leader's acts and placement on a simulated network."""
+from approval import approve
+from simworld import Fleet
+from stagevale.membership import clocks
+from stagevale.membership.state import (COMPLETE, DOWN, JOINING, REMOVED, UP, GossipState, Member, Move, fromMessage,
+                                        merged)
+from stagevale.membership.suspicion import THRESHOLD, Suspicion
+from stagevale.placement import PARTS, groupFor, partOf, place
+
+
+def member(number, state=UP, region="a", uid=1, generation=0, program="registry"):
+    return Member(f"10.0.0.{number}:7200", uid, generation, state, program, region + "1", region, "")
+
+
+def test_vector_clocks_ignore_removed_members():
+    mine, theirs = {"a": 2, "b": 1}, {"a": 2, "c": 4}
+    assert clocks.compare(mine, theirs) == clocks.APART
+    assert clocks.compare(mine, theirs, {"c"}) == clocks.OLDER
+    assert clocks.compare(mine, theirs, {"b"}) == clocks.NEWER
+    assert clocks.joined(mine, theirs) == {"a": 2, "b": 1, "c": 4}
+    assert clocks.mark(mine, {"b"}) == clocks.mark({"a": 2})
+
+
+def test_merge_is_the_same_from_both_sides_and_keeps_the_later_life():
+    one = GossipState({"a": 2}, {m.address: m for m in (member(1, DOWN), member(2))}, 3, {"p": ("x",)},
+                      (Move("p", "x", "y", 0),))
+    two = GossipState({"b": 1}, {m.address: m for m in (member(1, JOINING, uid=9, generation=1), member(3))}, 3,
+                      {"p": ("x",)}, (Move("p", "x", "y", COMPLETE),))
+    here, there = merged(one, two), merged(two, one)
+    assert here.message()[2:] == there.message()[2:]
+    assert {a: m.fields() for a, m in here.members.items()} == {a: m.fields() for a, m in there.members.items()}
+    assert here.members["10.0.0.1:7200"].uid == 9 and here.moves[0].status == COMPLETE
+    assert fromMessage(here.message()).mark == here.mark
+
+
+def test_suspicion_rises_with_silence_only():
+    suspicion = Suspicion(0, 1000)
+    nowMs = 0
+    for _ in range(20):
+        nowMs += 1000
+        suspicion.heard(nowMs)
+    assert suspicion.phi(nowMs + 900) < 1
+    assert suspicion.phi(nowMs + 6000) > THRESHOLD
+    suspicion.heard(nowMs + 6000)
+    assert suspicion.phi(nowMs + 6100) < 1
+
+
+def test_placement_moves_a_part_from_a_living_member_by_handoff_and_from_a_dead_one_at_once():
+    registries = [member(n, region="abc"[n % 3]) for n in range(1, 7)]
+    members = {m.address: m for m in registries}
+    table, moves = place(members, {}, (), {"a1": "a"})
+    assert not moves and all(len(table[part]) == 3 for part in PARTS)
+    assert all(len({members[a].region for a in table[part]}) == 3 for part in PARTS)
+    part = PARTS[0]
+    leaver = table[part][0]
+    members[leaver] = members[leaver].at(2)
+    table2, moves = place(members, table, (), {"a1": "a"})
+    assert table2[part] == table[part] and [m.giver for m in moves if m.part == part] == [leaver]
+    done = tuple(Move(m.part, m.giver, m.taker, COMPLETE) for m in moves)
+    table3, moves3 = place(members, table2, done, {"a1": "a"})
+    assert leaver not in table3[part] and len(table3[part]) == 3 and not moves3
+    members[leaver] = members[leaver].at(DOWN)
+    table4, moves4 = place(members, table, (), {"a1": "a"})
+    assert leaver not in table4[part] and not moves4
+
+
+def test_fleet_forms_and_sorted_leader_places():
+    fleet = Fleet(3, proxies=3)
+    assert fleet.world.until(lambda: fleet.formed(15), 20000)
+    states = [daemon.membership for daemon in fleet.daemons()]
+    assert {state.leader() for state in states} == {"10.0.0.1:7200"}
+    assert fleet.world.until(lambda: all(PARTS[0] in state.state.table for state in states), 10000)
+    lines = [f"{m.address} {m.program} {m.area}" for m in states[0].state.sorted()]
+    lines += [f"{part}: {' '.join(group)}" for part, group in sorted(states[0].state.table.items())]
+    approve("formed", lines)
+
+
+def test_killed_member_is_downed_by_a_core_majority_and_comes_back_as_a_new_life():
+    fleet = Fleet(4)
+    assert fleet.world.until(lambda: fleet.formed(12), 20000)
+    before = fleet.registries[1].membership.state.members["10.0.0.6:7200"].uid
+    fleet.killCore(5)
+    watcher = fleet.registries[1].membership
+    assert fleet.world.until(lambda: watcher.state.members["10.0.0.6:7200"].state == DOWN, 30000)
+    assert fleet.world.until(watcher.converged, 10000)
+    fleet.startCore(5, False)
+    assert fleet.world.until(lambda: fleet.formed(12), 30000)
+    after = watcher.state.members["10.0.0.6:7200"]
+    assert after.uid != before and after.generation > 0
+
+
+def test_even_cut_downs_nobody():
+    fleet = Fleet(5)
+    assert fleet.world.until(lambda: fleet.formed(12), 20000)
+    fleet.world.cut(["10.0.0.1", "10.0.0.2", "10.0.0.3"], ["10.0.0.4", "10.0.0.5", "10.0.0.6"])
+    fleet.world.run(25000)
+    for daemon in fleet.daemons():
+        assert not daemon.membership.converged()
+        assert all(m.state == UP for m in daemon.membership.state.members.values())
+    fleet.world.join()
+    assert fleet.world.until(lambda: fleet.formed(12), 20000)
+
+
+def test_minority_downs_nobody_and_rejoins():
+    fleet = Fleet(6)
+    assert fleet.world.until(lambda: fleet.formed(12), 20000)
+    rest = [f"10.0.0.{n}" for n in (1, 2, 3, 4)]
+    fleet.world.cut(["10.0.0.5", "10.0.0.6"], rest)
+    alone = fleet.registries[4].membership
+    assert fleet.world.until(lambda: fleet.registries[0].membership.state.members["10.0.0.5:7200"].state == DOWN, 30000)
+    assert all(m.state == UP for m in alone.state.members.values())
+    fleet.world.join()
+    assert fleet.world.until(lambda: fleet.formed(12), 40000)
+
+
+def test_seeds_down_a_new_daemon_still_joins_through_remembered_colleagues():
+    fleet = Fleet(7)
+    assert fleet.world.until(lambda: fleet.formed(12), 20000)
+    assert fleet.world.until(lambda: len(fleet.stores[5].colleagues) >= 5, 5000)
+    for number in (0, 1, 2):
+        fleet.killCore(number)
+    fleet.world.kill(fleet.stores[5].context)
+    fleet.startStore(5, False)
+    assert fleet.world.until(lambda: "10.0.0.5:7200" in fleet.stores[5].membership.state.members, 15000)
+
+
+def test_unreadable_gossip_is_dropped():
+    fleet = Fleet(8)
+    fleet.world.run(1000)
+    membership = fleet.registries[0].membership
+    for data in (b"", b"\x00" * 40, b"garbage", bytes(range(256)), membership.overview()[:30],
+                 membership.overview()[5:]):
+        membership.datagram_received(data, ("10.0.0.9", 1))
+    assert fleet.world.until(lambda: fleet.formed(12), 20000)
+
+
+def test_part_of_is_stable():
+    assert partOf("blockbook") == partOf("blockbook")
+    assert len({partOf(f"service-{n}") for n in range(100)}) == len(PARTS)
+    registries = [member(n, region="abc"[n % 3]) for n in range(1, 7)]
+    assert groupFor("part-1", registries) == groupFor("part-1", list(reversed(registries)))
--- /dev/null
+++ b/tests/test_registrations.py
@@ -0,0 +1,184 @@
+"""Beats, drains and leaves through whole fleets; what the proxies come to know."""
+import json
+
+import pytest
+
+from simworld import AREAS, Fleet, MemoryDisk
+from stagevale.configuration.checking import fingerprint, readConfig
+from stagevale.registrations import DRAINING, GONE, READY, Life, Lives
+from stagevale.registrations.calls import CallStream, Problem, readBeat
+from test_register import config
+
+
+def beatOf(id, state="ready", seq=1, cold=0, service="s", area="a1"):
+    return {"address": "10.9.0.1:80", "details": {"service": service, "zone": area, "slots": 3, "version": "v1"},
+            "status": {"state": state, "callSeq": seq, "coldLeftMs": cold}}
+
+
+def formed(seed=11, proxies=6):
+    fleet = Fleet(seed, proxies)
+    assert fleet.world.until(lambda: len(fleet.owners()) == 1 and fleet.formed(12 + proxies), 25000)
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    assert fleet.world.until(lambda: all(p.relay.digest.hosts for p in fleet.proxies.values()), 5000)
+    return fleet
+
+
+def tell(fleet, number, call, waitMs=2000):
+    got = []
+    call(fleet.registries[number].desk, lambda status, body: got.append(status))
+    fleet.world.until(lambda: got, waitMs)
+    return got[0] if got else None
+
+
+def known(fleet, id):
+    return [proxy.targets.get(id) for proxy in fleet.proxies.values()]
+
+
+def test_a_beat_at_any_registry_reaches_every_proxy():
+    fleet = formed()
+    for number in range(6):
+        assert tell(fleet, number, lambda desk, answer: desk.beat(f"i-{number}", beatOf(f"i-{number}"), answer)) == 200
+    assert fleet.world.until(lambda: all(all(known(fleet, f"i-{n}")) for n in range(6)), 2500)
+
+
+def test_drain_is_acknowledged_only_when_the_group_holds_it_and_reaches_the_proxies_in_time():
+    fleet = formed()
+    tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beatOf("i-1"), answer))
+    assert fleet.world.until(lambda: all(known(fleet, "i-1")), 2500)
+    assert tell(fleet, 4, lambda desk, answer: desk.beat("i-1", beatOf("i-1", "draining", 2), answer)) == 200
+    ackedMs = fleet.world.env.now
+    assert fleet.world.until(lambda: all(t.state == DRAINING for t in known(fleet, "i-1")), 1250)
+    tell(fleet, 2, lambda desk, answer: desk.beat("i-1", beatOf("i-1", "ready", 1), answer))
+    fleet.world.run(2500)
+    assert all(t.state == DRAINING for t in known(fleet, "i-1"))
+    assert tell(fleet, 1, lambda desk, answer: desk.leave("i-1", answer)) == 200
+    assert fleet.world.until(lambda: not any(known(fleet, "i-1")), 1250)
+    assert fleet.world.env.now > ackedMs
+
+
+def test_drain_during_a_cut_is_refused_by_the_side_without_the_core():
+    fleet = formed()
+    tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beatOf("i-1"), answer))
+    fleet.world.run(2000)
+    fleet.world.cut(["10.0.0.5"], [f"10.0.0.{n}" for n in (1, 2, 3, 4, 6)])
+    fleet.world.run(3500)
+    assert tell(fleet, 4, lambda desk, answer: desk.beat("i-1", beatOf("i-1", "draining", 2), answer)) in (503, None)
+    assert tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beatOf("i-1", "draining", 2), answer)) == 200
+    assert fleet.world.until(lambda: all(t.state == DRAINING for t in known(fleet, "i-1")), 2500)
+
+
+def test_proxies_leave_a_feeder_that_is_out_of_touch():
+    fleet = formed()
+    fed = [p for p in fleet.proxies.values() if p.feeder == "10.0.0.5:7200"]
+    assert fed
+    fleet.world.cut(["10.0.0.5"], [f"10.0.0.{n}" for n in (1, 2, 3, 4, 6)])
+    assert fleet.world.until(lambda: all(p.feeder not in (None, "10.0.0.5:7200") and p.subscribed for p in fed), 5000)
+
+
+def test_unheard_endpoint_becomes_unsound_and_sound_again_with_its_next_beat():
+    fleet = formed()
+    seq = 1
+    for _ in range(8):
+        tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beatOf("i-1", seq=seq), answer))
+        tell(fleet, 3, lambda desk, answer: desk.beat("i-2", beatOf("i-2", seq=seq), answer))
+        fleet.world.run(1500)
+        seq += 1
+    assert all(t.sound for t in known(fleet, "i-1") + known(fleet, "i-2"))
+    for _ in range(6):
+        tell(fleet, 3, lambda desk, answer: desk.beat("i-2", beatOf("i-2", seq=seq), answer))
+        fleet.world.run(1500)
+        seq += 1
+    assert not any(t.sound for t in known(fleet, "i-1")) and all(t.sound for t in known(fleet, "i-2"))
+    tell(fleet, 5, lambda desk, answer: desk.beat("i-1", beatOf("i-1", seq=seq, cold=2500), answer))
+    assert fleet.world.until(lambda: all(t.sound and t.coldUntilMs > fleet.world.env.now
+                                         for t in known(fleet, "i-1")), 2500)
+
+
+def test_registry_that_restarts_empty_learns_and_empties_no_proxy():
+    fleet = formed()
+    for number in range(6):
+        tell(fleet, number, lambda desk, answer: desk.beat(f"i-{number}", beatOf(f"i-{number}"), answer))
+    fleet.world.run(2500)
+    fleet.killCore(1)
+    fleet.startCore(1, False)
+    assert fleet.world.until(lambda: len(fleet.registries[1].desk.lives.byId) == 6, 8000)
+    assert all(len(proxy.targets) == 6 for proxy in fleet.proxies.values())
+
+
+def test_restart_of_the_whole_core_keeps_proxies_serving_and_learns_again():
+    fleet = formed()
+    tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beatOf("i-1"), answer))
+    fleet.world.run(2000)
+    for number in range(6):
+        fleet.killCore(number)
+    fleet.world.run(800)
+    for number in range(6):
+        fleet.startCore(number, False)
+    assert all(proxy.targets and proxy.relay.digest.hosts for proxy in fleet.proxies.values())
+    assert fleet.insist([0, 1], "replace", config(2, 1))[0] == 200
+    assert fleet.world.until(lambda: all(p.relay.digest.serial >= 2 and p.subscribed
+                                         for p in fleet.proxies.values()), 8000)
+    assert fleet.world.until(lambda: tell(fleet, 2, lambda desk, answer: desk.beat("i-1", beatOf("i-1", seq=9), answer))
+                             == 200, 8000)
+
+
+def test_directory_names_ready_fronts_of_the_area_and_drops_a_killed_proxy():
+    fleet = formed()
+    tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beatOf("i-1"), answer))
+    desk = fleet.registries[3].desk
+    assert fleet.world.until(lambda: desk.resolve("a1", "a") == ["10.0.1.1:9000"], 5000)
+    fleet.world.kill(fleet.proxies[0].context)
+    assert fleet.world.until(lambda: desk.resolve("a1", "a") == ["10.0.1.4:9000"], 1500)
+
+
+def test_proxy_started_again_takes_only_what_a_majority_confirms():
+    fleet = formed()
+    fleet.world.kill(fleet.proxies[2].context)
+    assert fleet.insist([0], "replace", config(2, 1))[0] == 200
+    fleet.startProxy(2)
+    assert fleet.world.until(lambda: fleet.proxies[2].relay.digest.hosts, 5000)
+    assert fleet.proxies[2].relay.digest.serial == fleet.stores[fleet.owners()[0] - 1].chosen.serial
+
+
+def test_lives_merge_in_any_order_to_the_same():
+    def at(state, seq, unsoundAt=0, coldSeq=0):
+        return Life("i", "s", "10.0.0.1:1", "a1", 3, state, seq, unsoundAt, coldSeq, 0)
+    news = [at(READY, 1), at(DRAINING, 3), at(READY, 2, 2), at(READY, 5, coldSeq=5), at(READY, 4)]
+    ends = set()
+    for turn in range(5):
+        lives = Lives()
+        for life in news[turn:] + news[:turn]:
+            lives.merge(life, 0)
+        ends.add((lives.byId["i"].known(), lives.byId["i"].callSeq))
+    assert len(ends) == 1
+    lives.merge(at(GONE, 5), 0)
+    lives.merge(at(READY, 9), 0)
+    assert lives.byId["i"].state == GONE
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"null", b'{"details":[],"status":{}}',
+                                  json.dumps(beatOf("i", state="odd")).encode(),
+                                  json.dumps({**beatOf("i"), "address": "nowhere"}).encode(),
+                                  json.dumps({**beatOf("i"), "address": "10.0.0.999:5"}).encode(),
+                                  json.dumps(beatOf("i", seq="7")).encode(), json.dumps(beatOf("i", seq=True)).encode(),
+                                  json.dumps(beatOf("i", service="")).encode(), b"[" * 100000])
+def test_bad_beats_are_problems(body):
+    with pytest.raises(Problem):
+        readBeat(body)
+
+
+def test_bad_configurations_name_the_place():
+    good = json.loads(config(3, 2))
+    for change, word in ((lambda c: c["routes"].append(dict(c["routes"][0])), "host and prefix"),
+                         (lambda c: c["routes"][0].update(timeoutMs=0), "timeoutMs"),
+                         (lambda c: c["routes"][0].update(pathPrefix="x/"), "pathPrefix"),
+                         (lambda c: c["routes"][0].update(service="none"), "none"),
+                         (lambda c: c["routes"][0].update(weighted=[{"service": "s", "weight": 0}], service="s"), "weight"),
+                         (lambda c: c["routes"][0].pop("service"), "no service"),
+                         (lambda c: c.update(version="x3"), "version")):
+        table = json.loads(json.dumps(good))
+        change(table)
+        outcome = readConfig(json.dumps(table))
+        assert outcome.is_error() and outcome.error.status == 400 and word in outcome.error.reason
+    assert readConfig(json.dumps(good)).is_ok()
+    assert fingerprint(json.dumps(good)) == fingerprint(json.dumps(good, indent=3))
