--- a/stagevale/configuration/__init__.py
+++ b/stagevale/configuration/__init__.py
@@ -396,6 +396,9 @@
         for members in regions.values():
             members.sort(key=lambda member: member.machine != self.membership.me.machine)
             self.board.cast(members[0].address, wire.CHOSEN, [value.packed, [m.address for m in members[1:]]])
+        for address in self.colleagues:
+            if address not in self.membership.state.members:
+                self.board.cast(address, wire.CHOSEN, [value.packed, []])
 
     def onBeacon(self, peer, body, reply):
         ballot = asBallot(body[0])
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -1,4 +1,6 @@
 """The proxy: carries the traffic; serves front and readiness; diskless."""
+import os
+
 from stagevale import wire
 from stagevale.balancing import Target
 from stagevale.configuration.value import readValue
@@ -68,7 +70,8 @@
         rest = sorted(members.values(), key=lambda member: (member.area != settings.area,
                                                             member.region != settings.region, member.address))
         order = table + [member.address for member in rest]
-        order += [f"{ip}:{settings.innerPorts[0]}" for ip in settings.seeds]
+        alike = sorted(settings.seeds, key=lambda ip: -len(os.path.commonprefix((ip, settings.ip))))
+        order += [f"{ip}:{settings.innerPorts[0]}" for ip in alike]
         order = list(dict.fromkeys(order))
         nowMs = self.context.nowMs()
         return sorted(order, key=lambda address: (nowMs < self.shunned.get(address, 0),
--- a/stagevale/registrations/desk.py
+++ b/stagevale/registrations/desk.py
@@ -12,7 +12,7 @@
 class Subscriber:
     """A proxy that this registry feeds."""
 
-    __slots__ = ("address", "front", "area", "region", "ready", "serial", "heardMs", "waiting")
+    __slots__ = ("address", "front", "area", "region", "ready", "serial", "heardMs", "waiting", "welcomed")
 
     def __init__(self, address, front, area, region, ready, serial, heardMs):
         self.address = address
@@ -23,6 +23,7 @@
         self.serial = serial
         self.heardMs = heardMs
         self.waiting = False
+        self.welcomed = False
 
 
 class Desk:
@@ -66,8 +67,14 @@
         membership.epochHook = self.epochHeard
 
     def start(self):
-        self.context.after(self.intervalMs * 0.3, self.tick)
-        self.context.after(self.intervalMs * 0.1, self.pullValue)
+        self.context.after(self.intervalMs * 0.05, self.tick)
+        self.context.after(self.intervalMs * 0.1, self.firstValue)
+
+    def firstValue(self):
+        """Asks the stores until there is a value: proxies that start wait for it."""
+        if self.value is None and not self.stopping:
+            self.pullValue()
+            self.context.after(self.intervalMs * 0.2, self.firstValue)
 
     # who keeps what
 
@@ -95,6 +102,10 @@
         near.add(self.membership.me.machine)
         return len(near & machines) * 2 > len(machines)
 
+    def young(self):
+        """True for a while after the start, when silence of the others says nothing yet."""
+        return self.context.nowMs() - self.startedMs < self.intervalMs * 2
+
     # news of lives
 
     def beat(self, id, table, answer):
@@ -124,7 +135,7 @@
 
     def takeIn(self, comer, answer):
         nowMs = self.context.nowMs()
-        if not self.inContact() and nowMs - self.startedMs > self.intervalMs * 2:
+        if not self.inContact() and not self.young():
             answer(503, {"error": "out of touch with the core"})
             return
         news = self.lives.merge(comer, nowMs)
@@ -342,14 +353,12 @@
         self.canvass()
         self.judge()
         self.moveParts()
-        contact = self.inContact()
+        contact = self.inContact() or self.young()
         for subscriber in list(self.subscribers.values()):
             if nowMs - subscriber.heardMs > self.intervalMs * 3.5:
                 self.drop(subscriber.address)
                 continue
             self.board.cast(subscriber.address, wire.FEED_PING, [serial, 1 if contact else 0])
-        if self.value is None:
-            self.pullValue()
 
     def onPing(self, peer, body, reply):
         serial, marks, echo = body
@@ -410,6 +419,7 @@
             if address != self.board.address:
                 self.board.cast(address, wire.CHOSEN, [packed, []])
         self.takeValue(readValue(packed))
+        self.confirmed()
 
     def takeValue(self, value):
         if self.value is not None and value.serial <= self.value.serial:
@@ -427,10 +437,17 @@
     def onBeacon(self, peer, body, reply):
         serial = body[1]
         if self.value is not None and serial <= self.value.serial:
-            self.valueHeardMs = self.context.nowMs()
+            self.confirmed()
         else:
             self.pullValue()
 
+    def confirmed(self):
+        """The value held here is the newest that a majority knows: proxies that waited for that are fed."""
+        self.valueHeardMs = self.context.nowMs()
+        for subscriber in list(self.subscribers.values()):
+            if subscriber.waiting:
+                self.welcome(subscriber, True)
+
     def epochHeard(self, sender, epoch):
         if self.value is None or epoch > self.value.serial:
             self.pullValue()
@@ -454,7 +471,7 @@
             self.pulling = False
             if problem is None and answer and answer[0] == 200:
                 self.takeValue(readValue(answer[1]))
-                self.valueHeardMs = self.context.nowMs()
+                self.confirmed()
                 if then is not None:
                     then(True)
             elif then is not None:
@@ -507,14 +524,15 @@
             reply(1)
         if serial < 0 and nowMs - self.valueHeardMs > self.intervalMs * 1.5:
             subscriber.waiting = True
-            self.pullValue(lambda read: self.welcome(subscriber, read))
+            self.pullValue(lambda read: self.welcome(subscriber, read) if read or serial != -1 else None)
         else:
             self.welcome(subscriber, True)
 
     def welcome(self, subscriber, read):
         """Sends a new subscriber all lives, and the value once a majority has confirmed it."""
-        if self.subscribers.get(subscriber.address) is not subscriber:
+        if self.subscribers.get(subscriber.address) is not subscriber or subscriber.welcomed:
             return
+        subscriber.welcomed = True
         subscriber.waiting = False
         nowMs = self.context.nowMs()
         rows = [row for part in PARTS for row in self.lives.rows(part, nowMs)]
--- a/stagevale/relaying/__init__.py
+++ b/stagevale/relaying/__init__.py
@@ -277,7 +277,7 @@
         if job.attemptId:
             headers.append((b"Attempt-Id", job.attemptId))
         if shedMs is not None:
-            targetMs = job.route.targetMs if job.route else self.context.settings.bounds.contactMs / 4
+            targetMs = job.route.targetMs if job.route else self.context.settings.bounds.contactMs
             waitMs = targetMs * RETRY_SHARE * self.context.random.uniform(0.8, 1.6)
             headers.append(("Retry-After", f"{waitMs / 1000.0:.3f}"))
         self.finish(job, (status, b"", headers, why.encode()))
