Gossip states are always joined; equal ones are never sent back

Cause: a state that differed only in a removed member's counter compared as the same on both sides and each sent its own back without end. Two tests, both fail without this.

--- a/stagevale/membership/__init__.py
+++ b/stagevale/membership/__init__.py
@@ -339,26 +339,19 @@
             self.observed.pop(sender)
         if epoch > self.epoch and self.epochHook is not None:
             self.epochHook(sender, epoch)
+        if rowBytes and ROW.unpack_from(rowBytes)[3] == self.state.mark:
+            return
         relation = clocks.compare(self.state.clock, theirs, self.state.removed())
-        if relation == clocks.OLDER or relation == clocks.APART or sender not in self.state.members:
+        if relation != clocks.NEWER:
             self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
         if relation in (clocks.NEWER, clocks.APART):
             self.sendTo(sender, wire.pack([wire.STATE_WANTED, self.me.address]))
 
     def heardState(self, sender, theirs):
-        mine = self.state
-        relation = clocks.compare(mine.clock, theirs.clock, mine.removed() | theirs.removed())
-        if relation == clocks.SAME and mine.mark == theirs.mark:
-            return
-        if relation == clocks.NEWER:
-            kept = theirs.members.get(self.me.address)
-            self.put(theirs)
-            if kept is None or kept.uid != self.me.uid or kept.state not in COUNTED:
-                self.ensureSelf()
+        """Takes in another's state: both are joined, and the sender gets what it lacks."""
+        if theirs.mark == self.state.mark:
             return
-        if relation == clocks.OLDER or relation == clocks.SAME:
-            self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
-            return
-        self.put(merged(mine, theirs))
+        self.put(merged(self.state, theirs))
         self.ensureSelf()
-        self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
+        if self.state.mark != theirs.mark:
+            self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -134,8 +134,56 @@
     assert fleet.world.until(lambda: fleet.formed(12), 20000)
 
 
+class Counting:
+    """Counts the datagrams that go through it."""
+
+    def __init__(self, transport, sent):
+        self.transport, self.sent = transport, sent
+
+    def sendto(self, data, address):
+        self.sent.append(address)
+        self.transport.sendto(data, address)
+
+
 def test_part_of_is_stable():
     assert partOf("blockbook") == partOf("blockbook")
     assert len({partOf(f"service-{n}") for n in range(100)}) == len(PARTS)
     registries = [member(n, region="abc"[n % 3]) for n in range(1, 7)]
     assert groupFor("part-1", registries) == groupFor("part-1", list(reversed(registries)))
+
+
+def test_states_that_differ_only_in_a_removed_member_settle():
+    """A removed member that comes back stood only in ignored counters: two sides sent their states for ever."""
+    fleet = Fleet(9, proxies=2)
+    assert fleet.world.until(lambda: fleet.formed(14), 20000)
+    proxy = fleet.proxies[0]
+    proxy.ending = True
+    proxy.end()
+    watcher = fleet.registries[2].membership
+    assert fleet.world.until(lambda: watcher.state.members["10.0.1.1:7200"].state == REMOVED, 20000)
+    fleet.world.kill(proxy.context)
+    fleet.startProxy(0)
+    assert fleet.world.until(lambda: fleet.formed(14), 20000)
+    sent = []
+    for daemon in fleet.daemons():
+        daemon.membership.transport = Counting(daemon.membership.transport, sent)
+    fleet.world.run(4000)
+    assert len(sent) < 14 * 4 * 4
+
+
+def test_equal_clocks_with_unequal_content_are_exchanged_once():
+    fleet = Fleet(10)
+    assert fleet.world.until(lambda: fleet.formed(12), 20000)
+    one = fleet.registries[0].membership
+    comer = member(99, JOINING, uid=5, generation=2)
+    gone = member(99, REMOVED, uid=4, generation=1)
+    mine = one.state
+    one.state = GossipState(mine.clock, {**mine.members, gone.address: gone}, mine.tableEpoch, mine.table, mine.moves)
+    theirs = GossipState({**mine.clock, comer.address: 1}, {**mine.members, comer.address: comer}, mine.tableEpoch,
+                         mine.table, mine.moves)
+    sent = []
+    one.transport = Counting(one.transport, sent)
+    for _ in range(5):
+        one.heardState("10.0.0.2:7200", theirs)
+    assert one.state.members[comer.address].uid == 5
+    assert len(sent) <= 1
