doctor and rehearse; where jobs go is reported in-zone; spill weighed by bytes and by the queue's own work

The first part for running the system: 'rehearse REGION' asks registries for their stand, plays the loss of a region on a model with the real steering rules, keeps repeatable jobs apart from those that run at most once, and touches no traffic. A test loses the region for real on a simulated fleet and finds traffic moved within 0.15 of the rehearsal, no id run twice. 'doctor' checks settings, deploy file, configuration and a running system. Balancing: a queue is expected to take the mean work of its service, not the comer's; leaving the zone costs by the route's bytes against the mean; time past the aim counts double.

--- a/stagevale/balancing/__init__.py
+++ b/stagevale/balancing/__init__.py
@@ -4,8 +4,10 @@
 from stagevale.registrations import READY
 
 COLD_PROXIES = 2
-AREA_COST = 0.04
-REGION_COST = 0.45
+AREA_COST = 0.1
+REGION_COST = 0.4
+LATE_COST = 2.0
+LATE_MARGIN = 1.4
 QUEUE_FACTOR = 2.0
 
 
@@ -64,18 +66,31 @@
 class Chooser:
     """Chooses among allowed endpoints by expected time, nearness and own outstanding jobs."""
 
-    __slots__ = ("context", "work", "address", "rttMs")
+    __slots__ = ("context", "work", "address", "rttMs", "bytes", "meanBytes", "serviceWork")
 
     def __init__(self, context, address):
         self.context = context
         self.address = address
         self.work = {}
         self.rttMs = {}
+        self.bytes = {}
+        self.meanBytes = 2000.0
+        self.serviceWork = {}
 
     def workMs(self, route):
         """What a job of this route takes at an endpoint of usual speed, as learned."""
         return self.work.get(route.name) or route.targetMs * 0.25
 
+    def weigh(self, route, size):
+        """Learns how many bytes a job of this route moves, against the mean of all jobs."""
+        known = self.bytes.get(route.name)
+        self.bytes[route.name] = size if known is None else known + 0.05 * (size - known)
+        self.meanBytes += 0.01 * (size - self.meanBytes)
+
+    def bulk(self, route):
+        """How dear it is to carry a job of this route far: its bytes against the mean, within bounds."""
+        return min(3.0, max(0.3, self.bytes.get(route.name, self.meanBytes) / self.meanBytes))
+
     def learn(self, route, target, tookMs, wasQueued):
         """Learns from a served job."""
         work = self.workMs(route)
@@ -84,6 +99,9 @@
             tookMs -= min(rtt if rtt is not None else 0.0, tookMs * 0.8)
         if wasQueued:
             return
+        mixed = self.serviceWork.get(target.service)
+        plainMs = tookMs / target.speed
+        self.serviceWork[target.service] = plainMs if mixed is None else mixed + 0.03 * (plainMs - mixed)
         ratio = min(8.0, max(0.15, tookMs / work))
         target.speed += 0.15 * (ratio - target.speed)
         self.work[route.name] = work + 0.05 * (tookMs / target.speed - work)
@@ -116,6 +134,9 @@
         service = digest.services.get(job.service)
         if service is None:
             return None
+        mixed = self.serviceWork.get(job.service, work)
+        bulk = self.bulk(route)
+        leftMs = route.targetMs - (nowMs - job.startMs)
         best, bestCost = None, None
         job.expectedMs = None
         share = max(2, service.maxConns // (len(digest.proxies) + 2))
@@ -132,17 +153,18 @@
             if nowMs < target.coldUntilMs and not self.mayUseCold(target, digest, service, nowMs):
                 continue
             ahead = max(0.0, load + 1 - target.slots) / target.slots
-            tookMs = work * target.speed * (1.0 + ahead)
+            tookMs = target.speed * (work + mixed * ahead)
             if nowMs < target.coldUntilMs:
                 tookMs *= 2.0
             cost = tookMs
             if target.region != settings.region:
-                rtt = self.rttMs.get(target.region, 50.0)
+                rtt = self.rttMs.get(target.region, settings.bounds.contactMs / 80.0)
                 tookMs += rtt if target.idle else 2 * rtt
-                cost = tookMs + route.targetMs * REGION_COST
+                cost = tookMs + route.targetMs * REGION_COST * bulk
             elif target.area != settings.area:
-                cost = tookMs + route.targetMs * AREA_COST
-            cost *= 1.0 + 0.1 * self.context.random.random()
+                cost = tookMs + route.targetMs * AREA_COST * bulk
+            cost += max(0.0, tookMs * LATE_MARGIN - leftMs) * LATE_COST
+            cost *= 1.0 + 0.05 * self.context.random.random()
             if bestCost is None or cost < bestCost:
                 best, bestCost = target, cost
                 job.expectedMs = tookMs
--- /dev/null
+++ b/stagevale/doctoring/__init__.py
@@ -0,0 +1,176 @@
+"""The doctor: looks for common faults in settings, deploy file, configurations and a running system."""
+import http.client
+import json
+import os
+import tomllib
+
+from stagevale.configuration.checking import readConfig
+from stagevale.settings import SettingsProblem, loadSettings, splitAddress
+
+
+class Finding:
+    """A fault, where it is, and what to do about it."""
+
+    __slots__ = ("where", "fault", "remedy")
+
+    def __init__(self, where, fault, remedy):
+        self.where = where
+        self.fault = fault
+        self.remedy = remedy
+
+    def row(self):
+        return {"where": self.where, "fault": self.fault, "remedy": self.remedy}
+
+
+def ask(address, path, timeoutS=3.0):
+    """GET at ip:port; returns (status, parsed JSON or None), or (None, reason) where no answer comes."""
+    ip, port = splitAddress(address, "address")
+    stream = http.client.HTTPConnection(ip, port, timeout=timeoutS)
+    try:
+        stream.request("GET", path)
+        answer = stream.getresponse()
+        data = answer.read(64 * 1024 * 1024)
+    except (OSError, http.client.HTTPException) as problem:
+        return None, str(problem) or type(problem).__name__
+    finally:
+        stream.close()
+    try:
+        return answer.status, json.loads(data)
+    except ValueError:
+        return answer.status, None
+
+
+def checkSettings(path):
+    """Faults of a settings file."""
+    try:
+        settings = loadSettings(path)
+    except SettingsProblem as problem:
+        return [Finding(path, str(problem), "mend the field that is named; the daemons refuse to start on it")]
+    found = []
+    if not settings.seeds:
+        found.append(Finding(path, "streams.seeds is empty", "name up to three core machines' control addresses"))
+    if settings.innerPorts[1] - settings.innerPorts[0] < 1:
+        found.append(Finding(path, "streams.innerPorts holds a single port", "registry and store each need one"))
+    if settings.bounds.drainCutoffMs < settings.bounds.contactMs / 4:
+        found.append(Finding(path, "bounds.drainCutoffMs is below a round of the registries (contactMs / 4)",
+                             "raise drainCutoffMs or lower contactMs"))
+    if settings.bounds.gracePeriodS * 1000 < settings.bounds.contactMs / 2:
+        found.append(Finding(path, "bounds.gracePeriodS leaves a proxy no time to answer what it has",
+                             "give at least half of contactMs"))
+    if settings.listen.get("control") and not settings.dataPath and settings.machineClass == "core":
+        found.append(Finding(path, "a core machine without daemon.dataPath", "give it a folder on its disk"))
+    if settings.dataPath and not os.access(settings.dataPath, os.W_OK):
+        found.append(Finding(path, f"daemon.dataPath {settings.dataPath} can't be written", "create it, or its rights"))
+    return found
+
+
+def checkDeploy(path):
+    """Faults of a deploy file."""
+    try:
+        with open(path, "rb") as file:
+            table = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as problem:
+        return [Finding(path, f"can't be read: {problem}", "mend the file")]
+    found = []
+    roles = table.get("roles", {})
+    if not isinstance(roles, dict):
+        return [Finding(path, "roles is no table", "write [roles.NAME] tables")]
+    served = {}
+    for name, role in roles.items():
+        words = str(role.get("run", "")).split()
+        if not words:
+            found.append(Finding(f"{path}: roles.{name}", "no run", "name the program"))
+        share = role.get("share", 1.0)
+        if not isinstance(share, (int, float)) or not 0 < share <= 1:
+            found.append(Finding(f"{path}: roles.{name}", f"share is {share!r}", "want a number over 0, up to 1"))
+        template = role.get("template")
+        folder = os.path.dirname(os.path.dirname(os.path.abspath(path)))
+        if template and not os.path.exists(os.path.join(folder, template)):
+            found.append(Finding(f"{path}: roles.{name}", f"template {template} is missing", "add it, or drop the line"))
+        for what in role.get("serves", ()):
+            if (what, role.get("on")) in served:
+                found.append(Finding(f"{path}: roles.{name}", f"serves {what} as {served[what, role.get('on')]} does",
+                                     "no two roles on one class may serve the same"))
+            served[what, role.get("on")] = name
+    for what in ("edge", "control", "directory"):
+        if what not in {served for served, _ in served}:
+            found.append(Finding(path, f"no role serves {what}", "give it to a role"))
+    return found
+
+
+def checkConfig(path):
+    """Faults of a configuration file, by the store's own check."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as problem:
+        return [Finding(path, f"can't be read: {problem}", "name a readable file")]
+    checked = readConfig(text)
+    if checked.is_error():
+        return [Finding(path, checked.error.reason, "the store would answer 400; mend the place that is named")]
+    found = []
+    for route in checked.ok["routes"]:
+        name = route.get("name") or route["pathPrefix"]
+        if not route["pathPrefix"].endswith("/"):
+            found.append(Finding(f"{path}: {name}", "pathPrefix does not end with a slash",
+                                 "paths that only begin alike would match too"))
+        if route.get("targetMs", 0) > route["timeoutMs"]:
+            found.append(Finding(f"{path}: {name}", "targetMs is above timeoutMs", "no answer could earn its worth"))
+    return found
+
+
+def checkSystem(control, directory="", front="", ready=""):
+    """Faults of a running system, seen through its outside interfaces."""
+    found = []
+    status, stand = ask(control, "/v1/stand")
+    if status != 200 or not isinstance(stand, dict):
+        found.append(Finding(control, f"no stand from the registry: {stand if status is None else status}",
+                             "is the registry running, and is this its control address?"))
+    else:
+        found += standFaults(control, stand)
+    status, config = ask(control, "/v1/config/read")
+    if status == 404:
+        found.append(Finding(control, "no configuration has been taken", "send one to /v1/config/replace"))
+    elif status != 200:
+        found.append(Finding(control, f"the configuration can't be read: {config if status is None else status}",
+                             "a majority of the stores must run; see their logs"))
+    if directory:
+        status, answer = ask(directory, "/v1/resolve?name=doctor")
+        if status != 200 or not isinstance(answer, dict) or not answer.get("addresses"):
+            found.append(Finding(directory, "the directory names no front", "is any proxy ready? see readiness"))
+    if ready:
+        status, answer = ask(ready, "/v1/readiness")
+        if status != 200:
+            found.append(Finding(ready, f"not ready: {answer if status is None else status}",
+                                 "it waits for a configuration and endpoints; see the proxy's feeder in its log"))
+    return found
+
+
+def standFaults(control, stand):
+    """Faults that one registry's stand shows."""
+    found = []
+    if not stand.get("inContact"):
+        found.append(Finding(control, "this registry does not hear a majority of the core",
+                             "look at the links between core machines"))
+    for member in stand.get("members", ()):
+        if not member["reachable"] or member["state"] == "down":
+            found.append(Finding(member["address"], f"{member['program']} is {member['state']}"
+                                 + ("" if member["reachable"] else " and unreachable"), "start it, or mend its links"))
+    votes = stand.get("votes", [])
+    stores = {member["address"] for member in stand.get("members", ())
+              if member["program"] == "store" and member["state"] == "up" and member["reachable"]}
+    if votes and len(set(votes) & stores) <= len(votes) // 2:
+        found.append(Finding(control, "no majority of the configuration's voters is up", "start their stores"))
+    if stand.get("evacuated"):
+        found.append(Finding(control, f"evacuated: {', '.join(stand['evacuated'])}", "take back what is meant to serve"))
+    sound = {}
+    for endpoint in stand.get("endpoints", ()):
+        if endpoint["state"] == "ready":
+            sound.setdefault(endpoint["service"], []).append(endpoint["sound"])
+    for service, marks in sorted(sound.items()):
+        if not any(marks):
+            found.append(Finding(service, "no endpoint is sound", "their beats don't arrive; are they running?"))
+        elif sum(marks) * 2 < len(marks):
+            found.append(Finding(service, f"only {sum(marks)} of {len(marks)} endpoints are sound",
+                                 "look at those that are not"))
+    return found
--- a/stagevale/placement/__init__.py
+++ b/stagevale/placement/__init__.py
@@ -38,6 +38,13 @@
     return tuple(member.address for member in ordered[:FEEDERS])
 
 
+def frontsFor(area, region, ready):
+    """The fronts for a client of an area, out of rows (front, area, region): its own, else near ones, else all."""
+    here = sorted(front for front, itsArea, _ in ready if itsArea == area)
+    near = sorted(front for front, _, itsRegion in ready if itsRegion == region)
+    return here or near or sorted(front for front, _, _ in ready)[:64]
+
+
 def place(members, table, moves, areas):
     """The leader's rule: returns (table, moves) where anything is to change, else None.
 
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -13,11 +13,14 @@
 from stagevale.relaying.endpoint import HOP_HEADERS, EndpointStream
 
 
+REPORT_ROUNDS = 3.5
+
+
 class Proxy(Daemon):
     """The daemon on an edge machine."""
 
     __slots__ = ("relay", "targets", "feeder", "feederHeardMs", "subscribed", "evacuatedBefore", "waitMs", "shunned",
-                 "livesHeard", "intervalMs", "frontServer")
+                 "livesHeard", "intervalMs", "frontServer", "reportedMs")
 
     def __init__(self, context, path):
         super().__init__(context, "proxy", 0, path)
@@ -29,6 +32,7 @@
         self.shunned = {}
         self.livesHeard = False
         self.frontServer = None
+        self.reportedMs = 0.0
         self.intervalMs = context.settings.bounds.contactMs / 4.0
         self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
         self.membership.epochHook = self.epochHeard
@@ -106,8 +110,15 @@
     def subscribe(self, serial, anew):
         listen = self.context.settings.listen["front"]
         settings = self.context.settings
+        nowMs = self.context.nowMs()
+        report = []
+        if self.subscribed and nowMs - self.reportedMs > REPORT_ROUNDS * self.intervalMs:
+            report = [int(nowMs - self.reportedMs), self.relay.takeFlows(),
+                      [[target.id, round(target.speed, 2)] for target in self.targets.values() if target.speed != 1.0],
+                      [[region, round(rttMs, 1)] for region, rttMs in self.relay.chooser.rttMs.items()]]
+            self.reportedMs = nowMs
         self.board.cast(self.feeder, wire.SUBSCRIBE, [f"{listen[0]}:{listen[1]}", settings.area, settings.region,
-                                                      self.ready(), serial if not anew else min(serial, -1)])
+                                                      self.ready(), serial if not anew else min(serial, -1), report])
 
     def changeFeeder(self, why):
         self.context.log.info("proxy: feeder %s is left: %s.", self.feeder, why)
--- a/stagevale/registrations/calls.py
+++ b/stagevale/registrations/calls.py
@@ -187,6 +187,10 @@
             if method != "GET":
                 return answer(405, {"error": "want GET"})
             return desk.order("read", "", ordered(answer))
+        if shape == ("stand",):
+            if method != "GET":
+                return answer(405, {"error": "want GET"})
+            return answer(200, desk.stand())
         if len(shape) == 3 and shape[0] == "evacuation" and shape[2] in ("begin", "finish"):
             if method != "POST":
                 return answer(405, {"error": "want POST"})
--- a/stagevale/registrations/desk.py
+++ b/stagevale/registrations/desk.py
@@ -4,8 +4,8 @@
 from stagevale import wire
 from stagevale.ballots import Round, Voter, asBallot, majority
 from stagevale.configuration.value import readValue
-from stagevale.membership.state import AWAITING, COUNTED, LEAVING, UP
-from stagevale.placement import PARTS, partOf
+from stagevale.membership.state import AWAITING, LEAVING, STATE_NAMES, UP
+from stagevale.placement import PARTS, frontsFor, partOf
 from stagevale.registrations import DRAINING, GONE, READY, Life, Lives, lifeFromFields
 
 UNHEARD_BEATS = 2.6
@@ -14,7 +14,7 @@
 class Subscriber:
     """A proxy that this registry feeds."""
 
-    __slots__ = ("address", "front", "area", "region", "ready", "serial", "heardMs", "waiting", "welcomed")
+    __slots__ = ("address", "front", "area", "region", "ready", "serial", "heardMs", "waiting", "welcomed", "report")
 
     def __init__(self, address, front, area, region, ready, serial, heardMs):
         self.address = address
@@ -26,6 +26,7 @@
         self.heardMs = heardMs
         self.waiting = False
         self.welcomed = False
+        self.report = []
 
 
 class Desk:
@@ -522,11 +523,13 @@
     # proxies
 
     def onSubscribe(self, peer, body, reply):
-        front, area, region, ready, serial = body
+        front, area, region, ready, serial, report = body
         nowMs = self.context.nowMs()
         known = self.subscribers.get(peer)
         fresh = known is None or serial < 0
         changed = known is None or known.ready != ready
+        if known is not None and report:
+            known.report = report
         if known is not None and not fresh:
             known.heardMs, known.ready = nowMs, ready
             if changed:
@@ -535,6 +538,7 @@
                 reply(1)
             return
         subscriber = Subscriber(peer, front, area, region, ready, serial, nowMs)
+        subscriber.report = known.report if known is not None else report
         self.subscribers[peer] = subscriber
         if changed:
             self.announce()
@@ -605,10 +609,29 @@
         lists = [self.myAttached()] + [rows for registry, rows in self.attached.items() if self.live(registry)]
         ready = {(front, itsArea, itsRegion) for rows in lists for _, front, itsArea, itsRegion, isReady in rows
                  if isReady and front}
-        if not region:
-            region = self.context.settings.areas.get(area, "")
-        here = sorted(front for front, itsArea, _ in ready if itsArea == area)
-        if here:
-            return here
-        near = sorted(front for front, _, itsRegion in ready if itsRegion == region)
-        return near or sorted(front for front, _, _ in ready)[:64]
+        return frontsFor(area, region or self.context.settings.areas.get(area, ""), ready)
+
+    def stand(self):
+        """What this registry knows, for the tools: members, parts, endpoints, proxies and where jobs went."""
+        nowMs = self.context.nowMs()
+        membership = self.membership
+        return {
+            "registry": self.board.address, "inContact": self.inContact(), "converged": membership.converged(),
+            "leader": membership.leader() or "",
+            "serial": self.value.serial if self.value else -1,
+            "version": f"r{self.value.version}" if self.value else "",
+            "evacuated": list(self.value.evacuated) if self.value else [],
+            "votes": list(self.value.group) if self.value else [],
+            "areas": self.context.settings.areas,
+            "members": [{"address": m.address, "program": m.program, "area": m.area, "region": m.region,
+                         "state": STATE_NAMES[m.state], "reachable": membership.reachable(m.address)}
+                        for m in membership.state.sorted()],
+            "parts": {part: {"group": list(self.groupOf(part)), "owner": self.owners.get(part, ("", 0))[0] or ""}
+                      for part in PARTS},
+            "endpoints": [{"id": life.id, "service": life.service, "address": life.address, "area": life.area,
+                           "slots": life.slots, "state": ("ready", "draining", "gone")[life.state],
+                           "sound": life.sound, "coldLeftMs": max(0, int(life.coldMs - (nowMs - life.heardMs)))}
+                          for life in self.lives.byId.values()],
+            "proxies": [{"address": s.address, "front": s.front, "area": s.area, "region": s.region,
+                         "ready": bool(s.ready), "report": s.report} for s in self.subscribers.values()],
+        }
--- a/stagevale/relaying/__init__.py
+++ b/stagevale/relaying/__init__.py
@@ -47,7 +47,7 @@
     """Carries jobs between clients' streams and endpoints' streams."""
 
     __slots__ = ("context", "digest", "chooser", "budgets", "waiting", "streams", "leaving", "running", "dropOld",
-                 "hopHeaders", "makeStream", "bornMs")
+                 "hopHeaders", "makeStream", "bornMs", "flows")
 
     def __init__(self, context, address, makeStream, hopHeaders):
         self.context = context
@@ -55,6 +55,7 @@
         self.chooser = Chooser(context, address)
         self.budgets = {}
         self.waiting = {}
+        self.flows = {}
         self.streams = set()
         self.leaving = False
         self.bornMs = context.nowMs()
@@ -171,8 +172,12 @@
     def sent(self, job, target):
         """The job's bytes go out now."""
         job.sentMs = self.context.nowMs()
+        flow = self.flows.setdefault((job.route.name, job.service), {})
         if job.tries > 1:
             self.budget(job.service).spend(job.sentMs)
+            flow["again"] = flow.get("again", 0) + 1
+        else:
+            flow[target.area] = flow.get(target.area, 0) + 1
 
     def release(self, job, target):
         target.outstanding -= 1
@@ -230,8 +235,6 @@
             numbers = load.split(b",")
             if len(numbers) == 3 and all(number.strip().isdigit() for number in numbers):
                 target.told(int(numbers[0]), int(numbers[1]), nowMs)
-        if answer.fields.get(b"connection", b"").lower() == b"close" and target.open > 1:
-            pass
         status = answer.status
         notRun = b"not-run" in answer.fields or status == 421
         if job.answer is not None:
@@ -255,8 +258,8 @@
                 self.own(job, 502, "not the endpoint's own answer")
                 return
             target.served()
-            if target.slots:
-                self.chooser.learn(job.route, target, nowMs - job.sentMs, job.wasQueued)
+            self.chooser.learn(job.route, target, nowMs - job.sentMs, job.wasQueued)
+            self.chooser.weigh(job.route, len(job.body) + len(answer.body))
         elif status >= 500 and job.route.pure and self.again(job, target, nowMs):
             return
         elif status in (408, 429, 503):
@@ -264,6 +267,14 @@
             return
         self.finish(job, (status, answer.reason, answer.headers, answer.body))
 
+    def takeFlows(self):
+        """What went where since the last call: rows of route, service, kind, work, bytes and counts by area."""
+        flows, self.flows = self.flows, {}
+        routes = {route.name: route for rows in self.digest.hosts.values() for _, route in rows}
+        return [[name, service, routes[name].pure, int(self.chooser.workMs(routes[name])),
+                 int(self.chooser.bytes.get(name, 0)), counts]
+                for (name, service), counts in flows.items() if name in routes]
+
     def giveBack(self, job, why):
         """Ends a job that no endpoint has run: the promise of a 503, or 502 where it may have run."""
         if job.ran:
--- /dev/null
+++ b/tests/test_rehearsing.py
@@ -0,0 +1,175 @@
+"""The rehearsal of a region's loss, and the loss itself on a simulated fleet: traffic must move the same way."""
+import json
+
+import pytest
+
+from simworld import AREAS, Fleet, SimTransport
+from standins import Client, Endpoint, good, job, route
+from stagevale.rehearsing import Plan, RehearsalProblem, rehearse, report, shifted
+from stagevale.settings import Bounds
+
+ROUTES = [route("pure", "/p/"), route("effectful", "/e/"), route("pure", "/h/", homeRegions=["a", "b"])]
+CONFIG = {"version": "r1", "parentVersion": 0, "routes": ROUTES,
+          "services": [{"name": "s", "maxConns": 60, "warmupS": 3, "coldPerS": 6}]}
+
+
+class Town:
+    """A fleet with endpoints that beat and clients that come at a steady rate from every area."""
+
+    def __init__(self, seed):
+        self.fleet = Fleet(seed, proxies=6)
+        self.world = self.fleet.world
+        assert self.world.until(lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(18), 25000)
+        assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
+        self.ran, self.clients, self.sent, self.dead = [], [], 0, set()
+        self.endpoints = [Endpoint(self.world, number + 1, self.rule, AREAS[number % 6]) for number in range(12)]
+        self.seq = 0
+        self.beat()
+        assert self.world.until(lambda: all(proxy.ready() and len(proxy.targets) == 12
+                                            for proxy in self.fleet.proxies.values()), 8000)
+        self.world.run(3000)
+        self.come()
+
+    def rule(self, endpoint, fields, body):
+        head = endpoint.heads[-1]
+        self.ran.append((self.world.env.now, endpoint.area[0], head.split()[1][1], fields[b"attempt-id"].decode()))
+        return good(endpoint, fields, body), 60 + self.world.random.random() * 80
+
+    def beat(self):
+        self.seq += 1
+        for endpoint in self.endpoints:
+            if endpoint.area[0] in self.dead:
+                continue
+            number = next(n for n, registry in self.fleet.registries.items()
+                          if registry.context.alive and AREAS[n][0] not in self.dead)
+            beat = {"address": f"{endpoint.ip}:80", "details": {"service": "s", "zone": endpoint.area, "slots": 3},
+                    "status": {"state": "ready", "callSeq": self.seq, "coldLeftMs": 0}}
+            self.fleet.registries[number].desk.beat(endpoint.id, beat, lambda status, body: None)
+        self.world.later(1500, self.beat)
+
+    def come(self):
+        self.sent += 1
+        area = AREAS[self.sent % 6]
+        kind, method = ("p", "GET") if self.sent % 5 else ("h", "GET")
+        if self.sent % 3 == 0:
+            kind, method = "e", "POST"
+        desk = next(registry.desk for number, registry in self.fleet.registries.items()
+                    if registry.context.alive and AREAS[number][0] not in self.dead)
+        fronts = [tuple(front.split(":")) for front in desk.resolve(area, area[0])]
+        if fronts:
+            ip, port = fronts[self.sent % len(fronts)]
+            found = self.world.listeners.get((ip, int(port)))
+            if found:
+                self.open(ip, found, job(f"/{kind}/x", str(self.sent), method, b"b" if method == "POST" else b""))
+        self.world.later(20, self.come)
+
+    def open(self, ip, found, data):
+        client = Client(self.world)
+        far = SimTransport(self.world, ip, "10.7.0.1", found[1](), 1000, found[0])
+        near = SimTransport(self.world, "10.7.0.1", ip, client, 1000, type("Sender", (), {"alive": True})())
+        far.other, near.other = near, far
+        self.world.transports.append(far)
+        self.clients.append((self.world.env.now, data.split(b" ")[0], client))
+        far.protocol.connection_made(far)
+        client.connection_made(near)
+        near.write(data)
+
+    def stands(self):
+        return [registry.desk.stand() for registry in self.fleet.registries.values()]
+
+    def lose(self, region):
+        self.dead.add(region)
+        for number, area in enumerate(AREAS):
+            if area[0] == region:
+                self.fleet.killCore(number)
+                self.world.kill(self.fleet.proxies[number].context)
+        for endpoint in self.endpoints:
+            if endpoint.area[0] == region:
+                self.world.listeners.pop((endpoint.ip, 80), None)
+                for transport in endpoint.streams:
+                    transport.abort()
+
+    def shares(self, path, sinceMs):
+        counts = {}
+        for atMs, region, what, _ in self.ran:
+            if what == path and atMs >= sinceMs:
+                counts[region] = counts.get(region, 0) + 1
+        total = max(1, sum(counts.values()))
+        return {region: count / total for region, count in counts.items()}
+
+
+def test_the_real_loss_moves_traffic_as_rehearsed_and_runs_nothing_twice():
+    town = Town(21)
+    town.world.run(12000)
+    arrivals = len(town.ran)
+    plan = Plan(town.stands(), CONFIG, Bounds({}))
+    table = {row["route"]: row for row in report(plan, "a", 15, 1)["routes"]}
+    assert len(town.ran) == arrivals, "the rehearsal must not touch real traffic"
+    assert {row["kind"] for row in table.values()} == {"repeatable", "at most once"}
+    town.lose("a")
+    lostMs = town.world.env.now
+    town.world.run(14000)
+    for path, name in (("p", "r-pure/p/"), ("e", "r-effectful/e/"), ("h", "r-pure/h/")):
+        real, rehearsed = town.shares(path, lostMs + 4000), table[name]["lost"]["regions"]
+        assert set(rehearsed) <= {"b", "c"}
+        for region in ("b", "c"):
+            assert abs(real.get(region, 0) - rehearsed.get(region, 0)) < 0.15, (name, real, rehearsed)
+    assert town.shares("h", lostMs + 4000) == {"b": 1.0}
+    effectful = [id for _, _, what, id in town.ran if what == "e"]
+    assert len(effectful) == len(set(effectful))
+    late = [client for atMs, _, client in town.clients if lostMs + 4000 < atMs < town.world.env.now - 2000]
+    served = sum(client.statuses() == ["200"] for client in late)
+    assert served > 0.97 * len(late), (served, len(late))
+    assert all(row["lost"]["mostRunsOfAJob"] == 1 for row in table.values() if row["kind"] == "at most once")
+
+
+def stand(**more):
+    return {"areas": {"a1": "a", "b1": "b"}, "evacuated": [],
+            "endpoints": [{"id": f"i-{n}", "service": "s", "address": f"10.9.0.{n}:80", "area": area, "slots": 3,
+                           "state": "ready", "sound": True, "coldLeftMs": 0}
+                          for n, area in enumerate(("a1", "b1"))],
+            "proxies": [{"address": f"10.0.1.{n}:7200", "front": f"10.0.1.{n}:9000", "area": area, "region": area[0],
+                         "ready": True, "report": [4000, [["r-pure/p/", "s", True, 100, 500, {area: 80}],
+                                                          ["r-effectful/e/", "s", False, 100, 500, {area: 40}]],
+                                                   [], [["a", 60.0], ["b", 60.0]]]}
+                        for n, area in enumerate(("a1", "b1"))], **more}
+
+
+def test_lost_fronts_clients_go_where_the_directory_would_send_them():
+    plan = Plan([stand()], CONFIG, Bounds({}))
+    moved = shifted(plan, "a")
+    assert list(moved) == ["10.0.1.1:7200"]
+    assert sum(flow.perS for flow in moved["10.0.1.1:7200"]) == pytest.approx(60.0)
+    calm = rehearse(plan, "", 10, 3)
+    assert calm["r-pure/p/"].areas.keys() == {"a1", "b1"} and calm["r-pure/p/"].inAim > 100
+    assert rehearse(plan, "a", 10, 3)["r-pure/p/"].areas.keys() == {"b1"}
+
+
+def test_too_little_left_is_shown_as_shed_or_late():
+    busy = stand()
+    for row in busy["proxies"]:
+        row["report"][1][0][5] = {row["area"]: 200}
+    plan = Plan([busy], CONFIG, Bounds({}))
+    lost = report(plan, "a", 10, 1)
+    row = next(row for row in lost["routes"] if row["route"] == "r-pure/p/")
+    assert row["lost"]["inAim"] < row["calm"]["inAim"] and row["lost"]["shed"] + row["lost"]["late"] > 0.2
+
+
+def test_the_same_seed_gives_the_same_table():
+    plan = Plan([stand()], CONFIG, Bounds({}))
+    assert report(plan, "b", 5, 7) == report(plan, "b", 5, 7)
+    assert report(plan, "b", 5, 7) != report(plan, "b", 5, 8)
+
+
+def test_nothing_to_rehearse_is_said():
+    with pytest.raises(RehearsalProblem, match="no region x"):
+        report(Plan([stand()], CONFIG, Bounds({})), "x", 5, 1)
+    with pytest.raises(RehearsalProblem, match="reported"):
+        empty = stand()
+        for row in empty["proxies"]:
+            row["report"] = []
+        Plan([empty], CONFIG, Bounds({}))
+    with pytest.raises(RehearsalProblem, match="no front is left"):
+        alone = stand()
+        alone["proxies"] = alone["proxies"][:1]
+        report(Plan([alone], CONFIG, Bounds({})), "a", 5, 1)
