--- a/stagevale/doctoring/__init__.py
+++ b/stagevale/doctoring/__init__.py
@@ -158,7 +158,7 @@
                                  + ("" if member["reachable"] else " and unreachable"), "start it, or mend its links"))
     votes = stand.get("votes", [])
     stores = {member["address"] for member in stand.get("members", ())
-              if member["program"] == "store" and member["state"] == "up" and member["reachable"]}
+              if member["program"] == "store" and member["state"] in ("joining", "up") and member["reachable"]}
     if votes and len(set(votes) & stores) <= len(votes) // 2:
         found.append(Finding(control, "no majority of the configuration's voters is up", "start their stores"))
     if stand.get("evacuated"):
--- /dev/null
+++ b/tests/test_doctor.py
@@ -0,0 +1,206 @@
+"""The doctor against files, stand-ins and real daemons; the daemons' command line, signals and exit codes."""
+import http.client
+import json
+import os
+import pathlib
+import select
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from http.server import BaseHTTPRequestHandler, HTTPServer
+
+import pytest
+
+from stagevale.commands import app
+from test_register import config
+
+ROOT = pathlib.Path(__file__).parent.parent
+SETTINGS = """
+[daemon]
+name = "{name}"
+machineClass = "{klass}"
+ip = "{ip}"
+area = "a1"
+region = "a"
+counted = true
+firstStart = true
+{data}
+[streams]
+innerPorts = [{inner}, {innerEnd}]
+seeds = ["127.0.0.1:{control}"]
+[listen]
+{listen}
+[areas]
+a1 = "a"
+[terms]
+beatMs = 500
+[bounds]
+contactMs = 1000
+ackDeadlineMs = 4000
+gracePeriodS = 2
+"""
+
+
+def freePorts(count):
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class Program:
+    """One real daemon; what it logs is waited for, nothing sleeps."""
+
+    def __init__(self, name, path):
+        environment = {**os.environ, "STAGEVALE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        self.process = subprocess.Popen([sys.executable, "-m", "stagevale", name], cwd=ROOT, env=environment,
+                                        stderr=subprocess.PIPE)
+        self.text = b""
+
+    def logs(self, word, limitS=60):
+        while word.encode() not in self.text:
+            assert select.select([self.process.stderr], [], [], limitS)[0], f"no '{word}' in: {self.text.decode()}"
+            data = os.read(self.process.stderr.fileno(), 65536)
+            assert data, f"ended before '{word}': {self.text.decode()}"
+            self.text += data
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.process.stderr.close()
+
+
+def call(ip, port, method, path, body=None):
+    stream = http.client.HTTPConnection(ip, port, timeout=10)
+    try:
+        stream.request(method, path, body)
+        answer = stream.getresponse()
+        return answer.status, answer.read()
+    finally:
+        stream.close()
+
+
+def test_real_daemons_form_take_a_configuration_and_are_found_clean(tmp_path, capsys):
+    control, directory, front, ready, inner = freePorts(5)
+    if inner > 65000:
+        inner -= 600
+    files = {}
+    for name, ip, klass, listen, data in (
+            ("registry", "127.0.0.1", "core", f'control = "127.0.0.1:{control}"\ndirectory = "127.0.0.1:{directory}"',
+             f'dataPath = "{tmp_path}"'),
+            ("store", "127.0.0.1", "core", "", f'dataPath = "{tmp_path}/store"'),
+            ("proxy", "127.0.0.2", "edge", f'front = "127.0.0.2:{front}"\nready = "127.0.0.2:{ready}"', "")):
+        files[name] = tmp_path / f"{name}.toml"
+        files[name].write_text(SETTINGS.format(name=name, ip=ip, klass=klass, listen=listen, data=data, inner=inner,
+                                               innerEnd=inner + 9, control=control))
+    programs = {name: Program(name, path) for name, path in files.items()}
+    try:
+        programs["store"].logs("won the configuration duty")
+        programs["registry"].logs("won the duty for part-7")
+        for _ in range(20):
+            status, text = call("127.0.0.1", control, "POST", "/v1/config/replace", config(1, 0))
+            if status == 200:
+                break
+        assert status == 200, text
+        beat = {"address": "127.0.0.3:1", "details": {"service": "s", "zone": "a1", "slots": 2},
+                "status": {"state": "ready", "callSeq": 1, "coldLeftMs": 0}}
+        assert call("127.0.0.1", control, "POST", "/v1/instances/i-1/heartbeat", json.dumps(beat))[0] == 200
+        programs["proxy"].logs("configuration r1")
+        assert json.loads(call("127.0.0.1", control, "GET", "/v1/config/read")[1])["version"] == "r1"
+        assert call("127.0.0.1", control, "PUT", "/v1/config/read")[0] == 405
+        assert call("127.0.0.1", control, "GET", "/v1/nothing")[0] == 404
+        assert call("127.0.0.1", control, "POST", "/v1/instances/i-2/heartbeat", "{")[0] == 400
+        assert call("127.0.0.1", control, "POST", "/v1/evacuation/nowhere/begin")[0] == 404
+        assert call("127.0.0.2", ready, "GET", "/v1/readiness")[0] == 200
+        assert app(["doctor", "--settings", str(files["registry"]), "--control", f"127.0.0.1:{control}",
+                    "--ready", f"127.0.0.2:{ready}", "--json"]) in (0, 1)
+        found = json.loads(capsys.readouterr().out)["findings"]
+        assert all(row["where"] == "s" for row in found), found
+        assert app(["rehearse", "a", "--control", f"127.0.0.1:{control}"]) == 2
+        assert "no proxy has reported jobs yet" in capsys.readouterr().err
+
+        files["proxy"].write_text("nonsense")
+        programs["proxy"].process.send_signal(signal.SIGHUP)
+        programs["proxy"].logs("the old ones stay")
+        for name in ("proxy", "store", "registry"):
+            programs[name].process.send_signal(signal.SIGTERM)
+        for name, program in programs.items():
+            assert program.process.wait(30) == 0, name
+    finally:
+        for program in programs.values():
+            program.end()
+
+
+@pytest.mark.parametrize("change, word", [
+    (("ip = \"{ip}\"", "ip = 5"), "daemon.ip"), (("[{inner}, {innerEnd}]", "[5]"), "streams.innerPorts"),
+    (("contactMs = 1000", "contactMs = -1"), "bounds.contactMs"), (("[daemon]", "[daemon"), "not TOML"),
+    (('seeds = ["127.0.0.1:{control}"]', 'seeds = ["here"]'), "streams.seeds")])
+def test_invalid_settings_name_the_field_and_exit_2(tmp_path, change, word):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace(*change).format(name="n", ip="127.0.0.1", klass="core", listen="", data="",
+                                                     inner=7000, innerEnd=7010, control=8000))
+    environment = {**os.environ, "STAGEVALE_CONFIG": str(path)}
+    ended = subprocess.run([sys.executable, "-m", "stagevale", "store"], cwd=ROOT, env=environment,
+                           capture_output=True, text=True)
+    assert ended.returncode == 2 and word in ended.stderr and "Traceback" not in ended.stderr
+
+
+def test_files_with_faults(tmp_path, capsys):
+    deploy = tmp_path / "deploy.toml"
+    deploy.write_text('[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]\nshare = 2\n'
+                      '[roles.b]\nrun = "y"\non = "edge"\nserves = ["edge"]\n')
+    wrong = tmp_path / "config.json"
+    wrong.write_text(config(1, 0, service="other"))
+    assert app(["doctor", "--deploy", str(deploy), "--config", str(wrong)]) == 1
+    text = capsys.readouterr().out
+    for word in ("share is 2", "serves edge as a does", "no role serves control", "unknown service other"):
+        assert word in text
+    assert app(["doctor", "--config", str(tmp_path / "none")]) == 1
+    assert app(["doctor", "--deploy", str(ROOT / "deploy" / "system.toml")]) == 0
+
+
+@pytest.mark.parametrize("words", [["doctor"], ["doctor", "--ready", "127.0.0.1:1"], ["doctor", "--control", "x"],
+                                   ["nothing"], ["doctor", "--odd", "1"], ["rehearse", "a"],
+                                   ["rehearse", "a", "--control", "127.0.0.1:1", "--seconds", "0"],
+                                   ["rehearse", "a", "--control", "127.0.0.1:1"]])
+def test_misuse_exits_2_with_words_on_standard_error(words, capsys):
+    assert app(words) == 2
+    assert capsys.readouterr().err.startswith("stagevale: ")
+
+
+def test_stand_in_registry_with_faults(capsys):
+    stand = {"inContact": False, "evacuated": ["a1"], "votes": ["x:1", "y:1", "z:1"],
+             "members": [{"address": "x:1", "program": "store", "state": "up", "reachable": True},
+                         {"address": "y:1", "program": "store", "state": "down", "reachable": True}],
+             "endpoints": [{"service": "s", "state": "ready", "sound": False}]}
+
+    class Answers(BaseHTTPRequestHandler):
+        def do_GET(self):
+            good = self.path == "/v1/stand"
+            data = json.dumps(stand).encode() if good else b"{}"
+            self.send_response(200 if good else 503)
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        def log_message(self, *words):
+            pass
+    server = HTTPServer(("127.0.0.1", 0), Answers)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    try:
+        assert app(["doctor", "--control", f"127.0.0.1:{server.server_port}"]) == 1
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
+    text = capsys.readouterr().out
+    for word in ("does not hear a majority", "y:1: store is down", "no majority of the configuration's voters",
+                 "evacuated: a1", "no endpoint is sound", "can't be read"):
+        assert word in text
