--- a/stagevale/balancing/__init__.py
+++ b/stagevale/balancing/__init__.py
@@ -8,6 +8,8 @@
 REGION_COST = 0.4
 LATE_COST = 2.0
 LATE_MARGIN = 1.4
+SILENCE_COST = 2.0
+SILENCE_EXPECTED = 2.0
 QUEUE_FACTOR = 2.0
 
 
@@ -16,7 +18,7 @@
 
     __slots__ = ("id", "service", "address", "area", "region", "slots", "state", "sound", "coldSeq", "coldUntilMs",
                  "outstanding", "idle", "open", "speed", "others", "othersMs", "ejectUntilMs", "problems", "coldSent",
-                 "gone", "ripeMs")
+                 "gone", "silentSinceMs", "answeredMs")
 
     def __init__(self, id, service, address, area, region, slots):
         self.id = id
@@ -39,7 +41,23 @@
         self.problems = 0
         self.coldSent = []
         self.gone = False
-        self.ripeMs = 0.0
+        self.silentSinceMs = 0.0
+        self.answeredMs = 0.0
+
+    def took(self, nowMs):
+        """Counts a job that is given to the endpoint."""
+        if self.outstanding == 0:
+            self.silentSinceMs = nowMs
+        self.outstanding += 1
+
+    def gave(self, nowMs):
+        """Counts a job that the endpoint is done with."""
+        self.outstanding -= 1
+        self.silentSinceMs = nowMs
+
+    def silentMs(self, nowMs):
+        """For how long the endpoint has had jobs and given nothing back."""
+        return nowMs - self.silentSinceMs if self.outstanding > 0 else 0.0
 
     def load(self, nowMs):
         """Jobs thought to be at the endpoint now: this proxy's and, fading, what others had there."""
@@ -163,6 +181,7 @@
                 cost = tookMs + route.targetMs * REGION_COST * bulk
             elif target.area != settings.area:
                 cost = tookMs + route.targetMs * AREA_COST * bulk
+            cost += SILENCE_COST * max(0.0, target.silentMs(nowMs) - SILENCE_EXPECTED * mixed * target.speed)
             cost += max(0.0, tookMs * LATE_MARGIN - leftMs) * LATE_COST
             cost *= 1.0 + 0.05 * self.context.random.random()
             if bestCost is None or cost < bestCost:
--- a/stagevale/rehearsing/__init__.py
+++ b/stagevale/rehearsing/__init__.py
@@ -206,7 +206,7 @@
         trial.runs += 1
         tally.runs = max(tally.runs, trial.runs)
         tally.areas[target.area] = tally.areas.get(target.area, 0) + 1
-        target.outstanding += 1
+        target.took(nowMs)
         wayMs = 0.0 if target.region == front.region else front.chooser.rttMs.get(target.region, 0.0) / 2
         put(nowMs + wayMs, "arrive", trial, target)
 
@@ -233,7 +233,7 @@
         else:
             trial, target = what
             running[target.id] -= 1
-            target.outstanding -= 1
+            target.gave(nowMs)
             target.told(running[target.id], len(queues[target.id]), nowMs)
             if queues[target.id]:
                 start(*queues[target.id].pop(0), nowMs)
--- a/stagevale/relaying/__init__.py
+++ b/stagevale/relaying/__init__.py
@@ -5,13 +5,15 @@
 
 SHED_SHARE = 0.2
 RETRY_SHARE = 0.12
+HEDGE_EXPECTED = 2.5
+HEDGE_SHARE = 0.4
 
 
 class Job:
     """One job of a client, from its last byte until its answer."""
 
     __slots__ = ("stream", "parser", "method", "target", "host", "path", "headers", "body", "attemptId", "deadlineMs",
-                 "startMs", "cutoffMs", "route", "service", "tries", "tried", "answer", "closes", "begun", "carrier",
+                 "startMs", "cutoffMs", "route", "service", "tries", "tried", "answer", "closes", "begun", "carriers",
                  "timer", "offered", "sentMs", "wasQueued", "expectedMs", "ran", "lastAnswer")
 
     def __init__(self, stream, parser, request, body, startMs):
@@ -30,7 +32,7 @@
         self.answer = None
         self.closes = False
         self.begun = False
-        self.carrier = None
+        self.carriers = []
         self.timer = None
         self.offered = False
         self.sentMs = 0.0
@@ -134,21 +136,38 @@
             queue.sort(key=lambda waiting: (waiting.route.priority, waiting.startMs))
             self.context.after(patienceMs + 1, self.tired, job)
             return
+        self.offerTo(job, target, nowMs)
+
+    def offerTo(self, job, target, nowMs):
+        """Puts a job on a stream to this endpoint, an idle one where there is one."""
         job.offered = True
         job.tries += 1
         job.wasQueued = target.load(nowMs) >= target.slots
-        target.outstanding += 1
+        target.took(nowMs)
         if nowMs < target.coldUntilMs:
             target.coldSent.append(nowMs)
         if target.idle:
             stream = target.idle.pop()
-            job.carrier = stream
+            job.carriers.append(stream)
             stream.send(job)
         else:
             stream = self.makeStream(self, target)
-            job.carrier = stream
+            job.carriers.append(stream)
             stream.open(job)
 
+    def hedge(self, job, target, sentMs):
+        """A repeatable job whose endpoint has been silent for long is sent to a second one beside it."""
+        nowMs = self.context.nowMs()
+        if (job.answer is not None or not job.carriers or job.tries >= job.route.maxAttempts
+                or target.answeredMs > sentMs or nowMs + self.chooser.workMs(job.route) * 0.7 > job.cutoffMs):
+            return
+        if not self.budget(job.service).allows(nowMs, len(self.digest.proxies)):
+            return
+        job.tried += (target.id,)
+        second = self.chooser.choose(job, self.digest, nowMs)
+        if second is not None and second.load(nowMs) < second.slots:
+            self.offerTo(job, second, nowMs)
+
     def tired(self, job):
         """A job that no endpoint could take within its patience is shed."""
         queue = self.waiting.get(job.service)
@@ -178,10 +197,13 @@
             flow["again"] = flow.get("again", 0) + 1
         else:
             flow[target.area] = flow.get(target.area, 0) + 1
+            if job.route.pure and job.route.maxAttempts > 1:
+                waitMs = max(job.expectedMs * HEDGE_EXPECTED, job.route.targetMs * HEDGE_SHARE)
+                self.context.after(waitMs, self.hedge, job, target, job.sentMs)
 
     def release(self, job, target):
-        target.outstanding -= 1
-        job.carrier = None
+        target.gave(self.context.nowMs())
+        job.carriers = [stream for stream in job.carriers if stream.target is not target]
         self.context.soon(self.pump, target.service)
 
     def notSent(self, job, target, problem):
@@ -192,10 +214,10 @@
             service = self.digest.services.get(target.service)
             target.failed(nowMs, self.context.settings.bounds.contactMs / 8.0,
                           service.warmupMs if service else 0, True)
-        if job.answer is not None:
-            return
         job.tries -= 1
         job.tried += (target.id,)
+        if job.answer is not None or job.carriers:
+            return
         if len(job.tried) > 4:
             self.giveBack(job, "no endpoint can be reached")
             return
@@ -209,6 +231,8 @@
         if job.answer is not None:
             return
         job.ran = True
+        if job.carriers:
+            return
         if job.route.pure and self.again(job, target, nowMs):
             return
         self.context.log.debug("relay: %s at %s: %s.", job.route.name, target.address, why)
@@ -239,6 +263,12 @@
         notRun = b"not-run" in answer.fields or status == 421
         if job.answer is not None:
             return
+        target.answeredMs = nowMs
+        if job.carriers and (notRun or status >= 500):
+            job.ran = job.ran or not notRun
+            if status == 421:
+                target.gone = True
+            return
         if notRun:
             if status == 421:
                 target.gone = True
@@ -253,6 +283,8 @@
         if 200 <= status < 300:
             if b"server-seal" not in answer.fields or b"content-encoding" in answer.fields:
                 target.failed(nowMs, 0, 0, False)
+                if job.carriers:
+                    return
                 if job.route.pure and self.again(job, target, nowMs):
                     return
                 self.own(job, 502, "not the endpoint's own answer")
@@ -296,6 +328,7 @@
     def cutOff(self, job):
         """The job's time is over: its endpoint, if any, is no longer waited for."""
         if job.answer is not None:
+            self.drop(job)
             return
         queue = self.waiting.get(job.service)
         if queue and job in queue:
@@ -309,15 +342,13 @@
             self.giveBack(job, "no endpoint in time")
 
     def drop(self, job):
-        """Takes a job off the endpoint's stream that carries it."""
-        carrier = job.carrier
-        if carrier is not None:
-            job.carrier = None
-            target = carrier.target
+        """Takes a job off the endpoints' streams that carry it."""
+        carriers, job.carriers = job.carriers, []
+        for carrier in carriers:
             if carrier.job is job:
                 carrier.giveUp()
-                target.outstanding -= 1
-                self.context.soon(self.pump, target.service)
+                carrier.target.outstanding -= 1
+                self.context.soon(self.pump, carrier.target.service)
 
     def abandon(self, job):
         """The client has gone: a repeatable job ends, another runs on and its answer is dropped."""
@@ -329,7 +360,7 @@
         queue = self.waiting.get(job.service)
         if queue and job in queue:
             queue.remove(job)
-        if job.timer is not None:
+        if job.timer is not None and (job.route.pure or not job.carriers):
             job.timer.cancel()
         self.running -= 1
         if job.route.pure:
@@ -340,7 +371,7 @@
         if job.answer is not None:
             return
         job.answer = answer
-        if job.timer is not None:
+        if job.timer is not None and not job.carriers:
             job.timer.cancel()
         if job.begun:
             self.running -= 1
--- a/stagevale/relaying/endpoint.py
+++ b/stagevale/relaying/endpoint.py
@@ -52,7 +52,7 @@
         """Opens the stream and then sends the job."""
         self.job = job
         self.target.open += 1
-        silenceMs = self.relay.context.settings.bounds.contactMs * 0.25
+        silenceMs = self.relay.context.settings.bounds.contactMs / 14.0
         self.relay.context.connect(wire.pair(self.target.address), self, self.notOpened, silenceMs,
                                    self.relay.context.settings.bounds.contactMs)
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -278,3 +278,57 @@
     scene.world.run(4000)
     assert client.statuses() == ["200"] and b"Connection: close" in client.got and client.closed
     assert scene.context.stopped
+
+
+def test_repeatable_job_at_a_silent_endpoint_goes_to_a_second_one_beside_it():
+    scene = Scene()
+    scene.world.run(9000)
+    silent = []
+
+    def rule(endpoint, fields, body):
+        if not silent:
+            silent.append(endpoint.id)
+            return good(endpoint, fields, body, b"late"), 900
+        return good(endpoint, fields, body)
+    endpoints = [scene.endpoint(rule), scene.endpoint(rule)]
+    client = scene.client(job(id="9"))
+    scene.world.run(800)
+    assert client.statuses() == ["200"] and b"late" not in client.got
+    scene.world.run(1500)
+    assert client.statuses() == ["200"]
+    assert [len(endpoint.heads) for endpoint in endpoints] == [1, 1]
+    assert all(target.outstanding == 0 and target.open == 1 for target in scene.proxy.targets.values())
+
+
+def test_effectful_job_at_a_silent_endpoint_goes_nowhere_else():
+    scene = Scene()
+    scene.world.run(9000)
+    endpoints = [scene.endpoint(lambda e, f, b: (good(e, f, b), 1200)), scene.endpoint(lambda e, f, b: (good(e, f, b), 1200))]
+    client = scene.client(job("/e/x", "9", "POST", b"b"))
+    scene.world.run(1400)
+    assert client.statuses() == ["200"] and sum(len(endpoint.heads) for endpoint in endpoints) == 1
+
+
+def test_new_jobs_avoid_an_endpoint_that_has_fallen_silent():
+    scene = Scene()
+    scene.world.run(9000)
+    dark = scene.endpoint(lambda endpoint, fields, body: None)
+    lit = scene.endpoint(area="a2")
+    for number in range(3):
+        scene.client(job("/e/x", f"1{number}", "POST", b"b"))
+    scene.world.run(700)
+    before = len(dark.heads)
+    for number in range(6):
+        scene.client(job("/e/x", f"2{number}", "POST", b"b"))
+        scene.world.run(60)
+    assert len(dark.heads) == before and len(lit.heads) >= 6
+
+
+def test_an_endpoint_that_takes_no_stream_costs_a_job_little_time():
+    scene = Scene()
+    scene.world.run(9000)
+    dark, lit = scene.endpoint(), scene.endpoint(area="a2")
+    scene.world.cut(["10.0.1.1"], [dark.ip])
+    client = scene.client(job("/e/x", "9", "POST", b"b"))
+    scene.world.run(450)
+    assert client.statuses() == ["200"] and len(lit.heads) == 1
