--- a/stagevale/balancing/__init__.py
+++ b/stagevale/balancing/__init__.py
@@ -84,7 +84,7 @@
 class Chooser:
     """Chooses among allowed endpoints by expected time, nearness and own outstanding jobs."""
 
-    __slots__ = ("context", "work", "address", "rttMs", "bytes", "meanBytes", "serviceWork")
+    __slots__ = ("context", "work", "address", "rttMs", "bytes", "meanBytes", "serviceWork", "policy")
 
     def __init__(self, context, address):
         self.context = context
@@ -94,6 +94,7 @@
         self.bytes = {}
         self.meanBytes = 2000.0
         self.serviceWork = {}
+        self.policy = None
 
     def workMs(self, route):
         """What a job of this route takes at an endpoint of usual speed, as learned."""
@@ -183,6 +184,8 @@
                 cost = tookMs + route.targetMs * AREA_COST * bulk
             cost += SILENCE_COST * max(0.0, target.silentMs(nowMs) - SILENCE_EXPECTED * mixed * target.speed)
             cost += max(0.0, tookMs * LATE_MARGIN - leftMs) * LATE_COST
+            if self.policy is not None:
+                cost = self.policy.cost(job, target, cost, load)
             cost *= 1.0 + 0.05 * self.context.random.random()
             if bestCost is None or cost < bestCost:
                 best, bestCost = target, cost
--- a/stagevale/doctoring/__init__.py
+++ b/stagevale/doctoring/__init__.py
@@ -59,6 +59,12 @@
                              "give at least half of contactMs"))
     if settings.listen.get("control") and not settings.dataPath and settings.machineClass == "core":
         found.append(Finding(path, "a core machine without daemon.dataPath", "give it a folder on its disk"))
+    if settings.policyPath:
+        from stagevale.balancing.policies import PolicyProblem, loadPolicy
+        try:
+            loadPolicy(settings.policyPath, None)
+        except PolicyProblem as problem:
+            found.append(Finding(path, f"policy.path: {problem}", "mend the policy, or drop the line"))
     if settings.dataPath and not os.access(settings.dataPath, os.W_OK):
         found.append(Finding(path, f"daemon.dataPath {settings.dataPath} can't be written", "create it, or its rights"))
     return found
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -43,12 +43,31 @@
 
     def begin(self):
         super().begin()
+        self.readPolicy()
         listen = self.context.settings.listen
         if "ready" in listen:
             self.context.listen(listen["ready"], lambda: CallStream(self.context, self.readiness))
         self.context.listen(listen["front"], lambda: ClientStream(self.relay), self.fronted)
         self.tick()
 
+    def reload(self):
+        super().reload()
+        self.readPolicy()
+
+    def readPolicy(self):
+        """Takes the policy that the settings name; one that can't be used leaves the built-in choice."""
+        path = self.context.settings.policyPath
+        if not path:
+            self.relay.chooser.policy = None
+            return
+        from stagevale.balancing.policies import PolicyProblem, loadPolicy
+        try:
+            self.relay.chooser.policy = loadPolicy(path, self.context.log)
+            self.context.log.info("policy: %s is in use.", path)
+        except PolicyProblem as problem:
+            self.relay.chooser.policy = None
+            self.context.log.error("policy: %s; the built-in choice is used.", problem)
+
     def fronted(self, server):
         self.frontServer = server
 
@@ -87,7 +106,7 @@
         self.context.after(self.intervalMs * (1.0 if self.subscribed else 0.3), self.tick)
         if self.ending:
             return
-        if self.feeder is not None and nowMs - self.feederHeardMs > self.intervalMs * 1.9:
+        if self.feeder is not None and nowMs - self.feederHeardMs > self.intervalMs * 1.6:
             self.changeFeeder("silent")
         if self.feeder is None:
             feeders = self.feeders()
--- a/stagevale/registrations/desk.py
+++ b/stagevale/registrations/desk.py
@@ -48,7 +48,7 @@
         self.pingHeardMs = {}
         self.voter = Voter()
         self.owners = {}
-        self.rounds = {}
+        self.rounds = 0
         self.roundNo = 0
         self.life = f"{context.random.getrandbits(32):08x}"
         self.heardIds = {}
@@ -100,7 +100,7 @@
         nowMs = self.context.nowMs()
         machines = {member.machine for member in self.registries()}
         machines.add(self.membership.me.machine)
-        limitMs = self.intervalMs * 2.3
+        limitMs = self.intervalMs * 1.8
         near = {address.rpartition(":")[0] for address, heardMs in self.pingHeardMs.items() if nowMs - heardMs < limitMs}
         near.add(self.membership.me.machine)
         return len(near & machines) * 2 > len(machines)
@@ -301,7 +301,7 @@
                                 lambda answer, problem, peer=address, answered=answered: answered(peer, answer, problem))
 
     def live(self, address):
-        return self.context.nowMs() - self.pingHeardMs.get(address, -1e12) < self.intervalMs * 2.5
+        return self.context.nowMs() - self.pingHeardMs.get(address, -1e12) < self.intervalMs * 1.5
 
     def onCanvass(self, peer, body, reply):
         part, ballot = body[0], asBallot(body[1])
@@ -340,8 +340,9 @@
     # rounds
 
     def tick(self):
-        self.context.after(self.intervalMs * self.context.random.uniform(0.95, 1.05), self.tick)
+        self.context.after(self.intervalMs * 0.5 * self.context.random.uniform(0.95, 1.05), self.tick)
         nowMs = self.context.nowMs()
+        self.rounds += 1
         settings = self.context.settings
         self.lives.forget(nowMs - settings.bounds.contactMs * 10, nowMs - settings.bounds.contactMs * 60)
         serial = self.value.serial if self.value else -1
@@ -349,6 +350,20 @@
         for member in self.registries():
             if member.address != self.board.address:
                 self.board.cast(member.address, wire.PING, ping)
+        if self.rounds % 2:
+            self.tellHeard()
+            self.canvass()
+            self.moveParts()
+        self.judge()
+        contact = self.inContact() or self.young()
+        for subscriber in list(self.subscribers.values()):
+            if nowMs - subscriber.heardMs > self.intervalMs * 2.2:
+                self.drop(subscriber.address)
+                continue
+            self.board.cast(subscriber.address, wire.FEED_PING, [serial, 1 if contact else 0])
+
+    def tellHeard(self):
+        """Tells the groups which unchanged lives were heard here since the last time."""
         toldTo = {}
         for part, ids in self.heardIds.items():
             for address in self.groupOf(part):
@@ -357,15 +372,6 @@
         for address, heard in toldTo.items():
             self.board.cast(address, wire.HEARD, heard)
         self.heardIds = {}
-        self.canvass()
-        self.judge()
-        self.moveParts()
-        contact = self.inContact() or self.young()
-        for subscriber in list(self.subscribers.values()):
-            if nowMs - subscriber.heardMs > self.intervalMs * 2.4:
-                self.drop(subscriber.address)
-                continue
-            self.board.cast(subscriber.address, wire.FEED_PING, [serial, 1 if contact else 0])
 
     def onPing(self, peer, body, reply):
         serial, marks, attachedMark = body
