A registry remembers its endpoints on disk: after a loss of everything proxies serve before the next beats

What is remembered is a hint: beats, drains and 421 go over it, and what stays unheard becomes unsound as usual.

--- a/stagevale/programs/registry.py
+++ b/stagevale/programs/registry.py
@@ -1,4 +1,8 @@
 """The registry: serves control and directory, knows the endpoints, feeds the proxies, relays orders."""
+import os
+
+from stagevale.configuration.disk import DiskRegister, Folder
+from stagevale.placement import place
 from stagevale.programs import Daemon
 from stagevale.registrations.calls import CallStream, dispatcher
 from stagevale.registrations.desk import Desk
@@ -14,17 +18,24 @@
         bounds = context.settings.bounds
         self.desk = Desk(context, self.board, self.membership)
         self.dispatch = dispatcher(context, self.desk, min(2, bounds.ttl_max_s))
-        from stagevale.placement import place
         self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
 
     def begin(self):
         super().begin()
+        folder = self.context.settings.dataPath
+        if folder:
+            folder = os.path.join(folder, "registry")
+            os.makedirs(folder, exist_ok=True)
+            self.desk.remember(self.openDisk(folder))
         self.desk.start()
         for name in ("control", "directory"):
             address = self.context.settings.listen.get(name)
             if address:
                 self.context.listen(address, lambda: CallStream(self.context, self.dispatch))
 
+    def openDisk(self, folder):
+        return DiskRegister(Folder(folder))
+
     def end(self):
         """Leaves in order: hands its parts over, then exits and ends."""
         self.desk.stopping = True
--- a/stagevale/programs/store.py
+++ b/stagevale/programs/store.py
@@ -14,7 +14,7 @@
 
     def __init__(self, context, path):
         super().__init__(context, "store", 1, path)
-        folder = context.settings.dataPath or "."
+        folder = os.path.join(context.settings.dataPath or ".", "store")
         os.makedirs(folder, exist_ok=True)
         self.keeper = Keeper(context, self.board, self.membership, DiskRegister(Folder(folder)))
         self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
--- a/stagevale/registrations/desk.py
+++ b/stagevale/registrations/desk.py
@@ -34,7 +34,7 @@
 
     __slots__ = ("context", "board", "membership", "lives", "value", "valueHeardMs", "subscribers", "attached",
                  "pingHeardMs", "voter", "owners", "rounds", "life", "heardIds", "pulling", "intervalMs", "ports",
-                 "startedMs", "stopping", "movesRunning", "roundNo")
+                 "startedMs", "stopping", "movesRunning", "roundNo", "disk", "savedMark", "saving")
 
     def __init__(self, context, board, membership):
         self.context = context
@@ -58,6 +58,9 @@
         self.startedMs = context.nowMs()
         self.stopping = False
         self.movesRunning = set()
+        self.disk = None
+        self.savedMark = None
+        self.saving = False
         for kind, handler in ((wire.LIVES, self.onLives), (wire.HEARD, self.onHeard), (wire.PING, self.onPing),
                               (wire.PART_WANTED, self.onPartWanted), (wire.CANVASS, self.onCanvass),
                               (wire.HANDOFF, self.onHandoff), (wire.CHOSEN, self.onChosen),
@@ -73,6 +76,39 @@
         self.context.after(self.intervalMs * 0.05, self.tick)
         self.context.after(self.intervalMs * 0.1, self.firstValue)
 
+    def remember(self, disk):
+        """Begins from the endpoints that this registry knew when it last ran: hints, until beats say more."""
+        self.disk = disk
+
+        def loaded(record, problem):
+            if problem is not None or record is None:
+                return
+            nowMs = self.context.nowMs()
+            for row in wire.unpack(record, "load", "disk")[1]:
+                life = lifeFromFields(row, nowMs)
+                if life.id not in self.lives.byId:
+                    self.lives.merge(life, nowMs)
+            self.savedMark = self.lives.markOfAll()
+            self.feed(list(self.lives.byId.values()))
+            self.context.log.info("registry: remembers %d endpoints.", len(self.lives.byId))
+        self.context.disk(disk.load, loaded)
+
+    def keep(self):
+        """Saves what is known of endpoints, where that has changed."""
+        mark = self.lives.markOfAll()
+        if self.disk is None or self.saving or mark == self.savedMark:
+            return
+        self.saving = True
+        nowMs = self.context.nowMs()
+        record = wire.pack([0, [life.fields(nowMs) for life in self.lives.byId.values()
+                                if life.sound and life.state != GONE]])
+
+        def saved(_, problem):
+            self.saving = False
+            if problem is None:
+                self.savedMark = mark
+        self.context.disk(lambda: self.disk.save(record), saved)
+
     def firstValue(self):
         """Asks the stores until there is a value: proxies that start wait for it."""
         if self.value is None and not self.stopping:
@@ -354,6 +390,7 @@
             self.tellHeard()
             self.canvass()
             self.moveParts()
+            self.keep()
         self.judge()
         contact = self.inContact() or self.young()
         for subscriber in list(self.subscribers.values()):
--- a/tests/simworld.py
+++ b/tests/simworld.py
@@ -310,8 +310,10 @@
         from stagevale.programs.registry import Registry
         ip = f"10.0.0.{number + 1}"
         settings = self.settings(ip, AREAS[number], f'control = "{ip}:8000"\ndirectory = "{ip}:8001"', first)
+        settings.dataPath = ""
         daemon = Registry(SimContext(self.world, settings, f"registry-{number + 1}"), "/none")
         self.registries[number] = daemon
+        daemon.desk.remember(self.world.disks.setdefault("registry " + ip, MemoryDisk()))
         daemon.begin()
 
     def startStore(self, number, first=False):
@@ -342,6 +344,7 @@
 
     def wipe(self, number):
         self.world.disks[f"10.0.0.{number + 1}"] = MemoryDisk()
+        self.world.disks[f"registry 10.0.0.{number + 1}"] = MemoryDisk()
 
     def daemons(self):
         return [daemon for daemon in list(self.registries.values()) + list(self.proxies.values())
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -133,6 +133,25 @@
                              == 200, 8000)
 
 
+def test_after_a_loss_of_everything_proxies_serve_before_the_next_beat():
+    fleet = formed()
+    for number in range(6):
+        tell(fleet, number, lambda desk, answer: desk.beat(f"i-{number}", beatOf(f"i-{number}"), answer))
+    tell(fleet, 0, lambda desk, answer: desk.beat("i-5", beatOf("i-5", "draining", 2), answer))
+    fleet.world.run(3000)
+    for number in range(6):
+        fleet.killCore(number)
+        fleet.world.kill(fleet.proxies[number].context)
+    fleet.world.run(800)
+    for number in range(6):
+        fleet.startCore(number, False)
+        fleet.startProxy(number)
+    assert fleet.world.until(lambda: all(p.ready() and len(p.targets) == 6 for p in fleet.proxies.values()), 2500)
+    assert all(t.state == DRAINING for t in known(fleet, "i-5"))
+    fleet.world.run(9000)
+    assert not any(t.sound for t in known(fleet, "i-1"))
+
+
 def test_directory_names_ready_fronts_of_the_area_and_drops_a_killed_proxy():
     fleet = formed()
     tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beatOf("i-1"), answer))
