--- a/stagevale/configuration/__init__.py
+++ b/stagevale/configuration/__init__.py
@@ -1,7 +1,7 @@
 """The configuration part: a compare-and-set register by ballots, kept on disk by a small group of stores."""
 from stagevale import wire
 from stagevale.ballots import NO_BALLOT, Round, asBallot, majority
-from stagevale.configuration.orders import READ, decide
+from stagevale.configuration.orders import decide
 from stagevale.configuration.value import Value, readValue
 
 
@@ -23,7 +23,7 @@
     __slots__ = ("context", "board", "membership", "disk", "promised", "acceptedBallot", "accepted", "wiped",
                  "loaded", "dirty", "saving", "saveWaiters", "ballot", "chosen", "ownerBallot", "ownerHeardMs",
                  "electing", "queue", "busy", "unconfirmed", "seedStores", "life", "timer", "beatMs", "callMs",
-                 "highestRound", "colleagues", "stopping", "learnRound", "triedGrowthMs")
+                 "highestRound", "colleagues", "stopping", "triedGrowthMs")
 
     def __init__(self, context, board, membership, disk):
         settings = context.settings
@@ -53,11 +53,10 @@
         self.highestRound = 0
         self.colleagues = set()
         self.stopping = False
-        self.learnRound = None
         self.triedGrowthMs = 0.0
         for kind, handler in ((wire.PREPARE, self.onPrepare), (wire.ACCEPT, self.onAccept),
                               (wire.CONFIRM, self.onConfirm), (wire.LEARN, self.onLearn),
-                              (wire.BEACON, self.onBeacon), (wire.ORDER, self.onOrder),
+                              (wire.BEACON, self.onBeacon), (wire.ORDER, self.onOrder), (wire.WHO_OWNS, self.onWhoOwns),
                               (wire.READ_VALUE, self.onReadValue)):
             board.on(kind, handler)
 
@@ -447,9 +446,38 @@
         if owner is not None:
             self.passOn(owner, waiting)
             return
+        self.context.after(self.callMs * 1.8, self.expire)
+        if self.ownerBallot == NO_BALLOT:
+            self.findOwner(waiting)
+            return
         self.queue.append(waiting)
         self.elect()
-        self.context.after(self.callMs * 1.8, self.expire)
+
+    def findOwner(self, waiting):
+        """A store that has heard no owner since its start asks the group for one before it stands itself."""
+        others = [address for address in self.group() if address != self.board.address]
+        silent = set(others)
+
+        def heard(peer, answer, problem):
+            if not silent:
+                return
+            silent.discard(peer)
+            if problem is None and answer and answer[0]:
+                silent.clear()
+                self.believe(asBallot(answer[1]), 0.0)
+            if not silent:
+                self.queue.append(waiting)
+                self.pump()
+        for peer in others:
+            self.board.call(peer, wire.WHO_OWNS, [], self.callMs * 0.3,
+                            lambda answer, problem, peer=peer: heard(peer, answer, problem))
+        if not others:
+            self.queue.append(waiting)
+            self.elect()
+
+    def onWhoOwns(self, peer, body, reply):
+        ballot = self.ballot if self.ballot is not None else self.ownerBallot
+        reply([self.owner() is not None, list(ballot)])
 
     def passOn(self, owner, waiting):
         def answered(answer, problem):
--- a/stagevale/membership/__init__.py
+++ b/stagevale/membership/__init__.py
@@ -4,7 +4,7 @@
 
 from stagevale import wire
 from stagevale.membership import clocks
-from stagevale.membership.state import (AWAITING, COMPLETE, COUNTED, DOWN, EXITING, JOINING, LEADING, LEAVING,
+from stagevale.membership.state import (COMPLETE, COUNTED, DOWN, EXITING, JOINING, LEADING, LEAVING,
                                         REMOVED, STATE_NAMES, UP, GossipState, Member, fromMessage, merged, sortKey)
 from stagevale.membership.suspicion import THRESHOLD, Suspicion
 
@@ -16,8 +16,8 @@
     """This daemon's part in the gossip; datagrams in, datagrams out."""
 
     __slots__ = ("context", "me", "state", "rows", "heartbeat", "suspicions", "unreachable", "observed", "transport",
-                 "changeHooks", "contacts", "intervalMs", "timer", "placer", "epoch", "epochHook", "leftHook",
-                 "startedMs", "leaving", "keys")
+                 "changeHooks", "contacts", "intervalMs", "timer", "placer", "epoch", "epochHook",
+                 "startedMs", "keys")
 
     def __init__(self, context, address, program, front=""):
         settings = context.settings
@@ -38,7 +38,6 @@
         self.placer = None
         self.epoch = 0
         self.epochHook = None
-        self.leaving = False
         self.startedMs = context.nowMs()
         self.keys = {self.me.key: self.me}
 
@@ -223,7 +222,6 @@
         """Says that this daemon leaves in order."""
         known = self.state.members.get(self.me.address)
         if known is not None and known.uid == self.me.uid and known.state in (JOINING, UP):
-            self.leaving = True
             self.put(self.state.changed(self.me.address,
                                         members={**self.state.members, self.me.address: known.at(LEAVING)}))
             for _ in range(3):
--- a/stagevale/programs/__init__.py
+++ b/stagevale/programs/__init__.py
@@ -7,7 +7,6 @@
 
 from absl import logging
 
-from stagevale import wire
 from stagevale.context import Context
 from stagevale.membership import Membership
 from stagevale.settings import SettingsProblem, loadSettings, settingsPath
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -19,7 +19,7 @@
 class Proxy(Daemon):
     """The daemon on an edge machine."""
 
-    __slots__ = ("relay", "targets", "feeder", "feederHeardMs", "subscribed", "evacuatedBefore", "waitMs", "shunned",
+    __slots__ = ("relay", "targets", "feeder", "feederHeardMs", "subscribed", "shunned",
                  "livesHeard", "intervalMs", "frontServer", "reportedMs")
 
     def __init__(self, context, path):
--- a/stagevale/registrations/desk.py
+++ b/stagevale/registrations/desk.py
@@ -2,7 +2,7 @@
 import zlib
 
 from stagevale import wire
-from stagevale.ballots import Round, Voter, asBallot, majority
+from stagevale.ballots import Round, Voter, asBallot
 from stagevale.configuration.value import readValue
 from stagevale.membership.state import AWAITING, LEAVING, STATE_NAMES, UP
 from stagevale.placement import PARTS, frontsFor, partOf
@@ -513,7 +513,7 @@
 
     def stores(self):
         """Stores to ask: the one beside this registry first, then those of members, then the seeds' ones."""
-        addresses = [f"{self.membership.me.machine}:{self.ports[1 - 1] + 1}"]
+        addresses = [f"{self.membership.me.machine}:{self.ports[0] + 1}"]
         members = [member for member in self.membership.members("store") if self.membership.reachable(member.address)]
         members.sort(key=lambda member: member.region != self.membership.me.region)
         addresses += [member.address for member in members]
--- a/stagevale/rehearsing/__init__.py
+++ b/stagevale/rehearsing/__init__.py
@@ -5,7 +5,6 @@
 from stagevale.balancing import Chooser, Target
 from stagevale.balancing.digest import Digest, Limits, Route, Service
 from stagevale.placement import frontsFor
-from stagevale.registrations import READY
 from stagevale.relaying import SHED_SHARE
 
 PURE, EFFECTFUL = "repeatable", "at most once"
--- a/stagevale/relaying/__init__.py
+++ b/stagevale/relaying/__init__.py
@@ -14,7 +14,7 @@
 
     __slots__ = ("stream", "parser", "method", "target", "host", "path", "headers", "body", "attemptId", "deadlineMs",
                  "startMs", "cutoffMs", "route", "service", "tries", "tried", "answer", "closes", "begun", "carriers",
-                 "timer", "offered", "sentMs", "wasQueued", "expectedMs", "ran", "lastAnswer")
+                 "timer", "offered", "sentMs", "wasQueued", "expectedMs", "ran")
 
     def __init__(self, stream, parser, request, body, startMs):
         self.stream = stream
@@ -39,7 +39,6 @@
         self.wasQueued = False
         self.expectedMs = None
         self.ran = False
-        self.lastAnswer = None
         self.attemptId = None
         self.deadlineMs = None
         self.host = self.path = ""
@@ -48,7 +47,7 @@
 class Relay:
     """Carries jobs between clients' streams and endpoints' streams."""
 
-    __slots__ = ("context", "digest", "chooser", "budgets", "waiting", "streams", "leaving", "running", "dropOld",
+    __slots__ = ("context", "digest", "chooser", "budgets", "waiting", "streams", "leaving", "running",
                  "hopHeaders", "makeStream", "bornMs", "flows")
 
     def __init__(self, context, address, makeStream, hopHeaders):
--- a/stagevale/relaying/client.py
+++ b/stagevale/relaying/client.py
@@ -5,16 +5,14 @@
 import h11
 
 from stagevale.relaying import Job
-from stagevale.relaying.endpoint import HOP_HEADERS
 
 AHEAD = 8
-OWN_HEADERS = (("Content-Type", "text/plain"),)
 
 
 class ClientStream(asyncio.Protocol):
     """One stream of a client: owns its parser, its queue of jobs and its timers."""
 
-    __slots__ = ("relay", "transport", "parser", "jobs", "request", "body", "size", "timer", "readingMs", "lastRead",
+    __slots__ = ("relay", "transport", "parser", "jobs", "request", "body", "size", "timer", "lastRead",
                  "pending", "paused", "startedMs")
 
     def __init__(self, relay):
@@ -108,6 +106,7 @@
                         self.ownAnswer(413, "the body is over the limit")
                         return
                     self.body.append(bytes(event.data))
+                    self.watch(self.relay.digest.limits.idleMs)
                 elif isinstance(event, h11.EndOfMessage):
                     rest, _ = self.parser.trailing_data
                     parser = self.parser
--- a/stagevale/relaying/endpoint.py
+++ b/stagevale/relaying/endpoint.py
@@ -27,8 +27,8 @@
 class EndpointStream(asyncio.Protocol):
     """One stream to an endpoint; carries one job at a time."""
 
-    __slots__ = ("relay", "target", "transport", "parser", "job", "head", "body", "size", "keepMs", "idleSinceMs",
-                 "timer", "openedMs", "written", "closing", "served", "surplus")
+    __slots__ = ("relay", "target", "transport", "parser", "job", "head", "body", "size", "keepMs",
+                 "timer", "openedMs", "written", "closing", "surplus")
 
     def __init__(self, relay, target):
         self.relay = relay
@@ -40,12 +40,10 @@
         self.body = []
         self.size = 0
         self.keepMs = relay.context.settings.bounds.contactMs * 0.9
-        self.idleSinceMs = 0.0
         self.timer = None
         self.openedMs = relay.context.nowMs()
         self.written = False
         self.closing = False
-        self.served = 0
         self.surplus = 0
 
     def open(self, job):
@@ -169,7 +167,6 @@
         headers = [(name, value) for name, value in head.headers.raw_items() if name.lower() not in HOP_HEADERS]
         answer = Answer(head.status_code, bytes(head.reason), headers, b"".join(self.body), fields)
         self.job = None
-        self.served += 1
         keep = fields.get(b"keep-alive", b"")
         if keep:
             self.readKeepAlive(keep)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,7 +3,6 @@
 import json
 
 from simworld import SimContext, World
-from stagevale.balancing.digest import Digest, emptyDigest
 from stagevale.configuration.value import Value
 from stagevale.programs.proxy import Proxy
 from stagevale.registrations import READY, Life
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -35,7 +35,8 @@
                                   "return debug.getinfo(1)", "return load('return 1')()"])
 def test_a_policy_that_fails_leaves_the_built_in_choice(body):
     scene = Scene()
-    near, far = scene.endpoint(), scene.endpoint(area="b1")
+    near = scene.endpoint()
+    scene.endpoint(area="b1")
     log = Quiet()
     scene.proxy.relay.chooser.policy = Policy(f"return function(job, e) {body} end", log)
     client = scene.client(job())
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -154,3 +154,19 @@
         answer = fleet.order(number - 1, "replace", config(2, 1, host="few.example"), 2000)
         assert answer is None or answer[0] == 503
     assert fleet.insist([n - 1 for n in many], "replace", config(2, 1, host="many.example"))[0] == 200
+
+
+def test_store_that_comes_back_leaves_the_duty_to_the_owner_at_work():
+    """It took the duty over at its first read: two rounds of ballots for nothing, seen in inc-20e7."""
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    owner = fleet.owners()[0] - 1
+    group = [int(address.split(":")[0].split(".")[-1]) - 1 for address in fleet.stores[owner].chosen.group]
+    ballot = fleet.stores[owner].ballot
+    for number in group:
+        if number != owner:
+            fleet.killCore(number)
+            fleet.world.run(1500)
+            fleet.startCore(number, False)
+            fleet.world.run(2500)
+    assert fleet.owners() == [owner + 1] and fleet.stores[owner].ballot == ballot
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -3,10 +3,10 @@
 
 import pytest
 
-from simworld import AREAS, Fleet, MemoryDisk
+from simworld import Fleet
 from stagevale.configuration.checking import fingerprint, readConfig
 from stagevale.registrations import DRAINING, GONE, READY, Life, Lives
-from stagevale.registrations.calls import CallStream, Problem, readBeat
+from stagevale.registrations.calls import Problem, readBeat
 from test_register import config
 
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -2,9 +2,8 @@
 import pytest
 
 from approval import approve
-from simworld import Fleet
 from standins import Scene, good, job, route
-from stagevale.registrations import DRAINING, GONE
+from stagevale.registrations import DRAINING
 
 
 def answersWith(status, head=b"", text=b"", withId=True):
@@ -69,7 +68,7 @@
 
 def test_stream_closed_halfway_ends_repeatable_jobs():
     scene = Scene()
-    endpoint = scene.endpoint(lambda endpoint, fields, body: None)
+    scene.endpoint(lambda endpoint, fields, body: None)
     client = scene.client(job(id="1") + job(id="2"))
     scene.world.run(100)
     assert scene.proxy.relay.running == 2
