--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -212,3 +212,27 @@
         assert outcome.is_error() and outcome.error.status == 400 and word in outcome.error.reason
     assert readConfig(json.dumps(good)).is_ok()
     assert fingerprint(json.dumps(good)) == fingerprint(json.dumps(good, indent=3))
+
+
+def test_registry_that_ends_in_order_hands_its_parts_over():
+    fleet = formed(13)
+    for number in range(6):
+        tell(fleet, number, lambda desk, answer: desk.beat(f"i-{number}", beatOf(f"i-{number}"), answer))
+    fleet.world.run(6000)
+    table = fleet.registries[0].membership.state.table
+    leaver = next(n for n in range(1, 6) if any(f"10.0.0.{n + 1}:7200" in group for part, group in table.items()
+                                                if part.startswith("part-")))
+    address = f"10.0.0.{leaver + 1}:7200"
+    daemon = fleet.registries[leaver]
+    daemon.ending = daemon.context.stopping = True
+    daemon.end()
+    watcher = fleet.registries[0].membership
+
+    def moved():
+        return not any(address in group for part, group in watcher.state.table.items() if part.startswith("part-"))
+    assert fleet.world.until(moved, 40000)
+    assert daemon.context.stopped
+    for part, group in watcher.state.table.items():
+        if part.startswith("part-"):
+            assert len(group) == 3
+    assert all(len(registry.desk.lives.byId) == 6 for n, registry in fleet.registries.items() if n != leaver)
