--- a/stagevale/programs/registry.py
+++ b/stagevale/programs/registry.py
@@ -8,6 +8,9 @@
 from stagevale.registrations.desk import Desk
 
 
+TTL_SHARE = 0.8
+
+
 class Registry(Daemon):
     """The daemon beside the store on a core machine that all calls from outside come to."""
 
@@ -17,7 +20,7 @@
         super().__init__(context, "registry", 0, path)
         bounds = context.settings.bounds
         self.desk = Desk(context, self.board, self.membership)
-        self.dispatch = dispatcher(context, self.desk, min(2, bounds.ttl_max_s))
+        self.dispatch = dispatcher(context, self.desk, bounds.ttl_max_s * TTL_SHARE)
         self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
 
     def begin(self):
