--- a/stagevale/wire/__init__.py
+++ b/stagevale/wire/__init__.py
@@ -77,7 +77,10 @@
 
 def unsqueeze(data):
     """The bytes that `squeeze` was given."""
-    return zlib.decompress(data)
+    try:
+        return zlib.decompress(data)
+    except (zlib.error, TypeError) as problem:
+        raise WireProblem("unsqueeze", "a colleague", repr(problem)) from None
 
 
 def packAddress(address):
