--- a/stagevale/configuration/__init__.py
+++ b/stagevale/configuration/__init__.py
@@ -171,6 +171,12 @@
         reply([self.loaded and not self.wiped, list(self.promised), list(self.acceptedBallot),
                self.accepted.packed if self.accepted else b""])
 
+    def askAll(self, peers, kind, body, cutoffMs, answered):
+        """Puts one question to several stores; `answered(peer, answer, problem)` is called for each."""
+        for peer in peers:
+            self.board.call(peer, kind, body, cutoffMs,
+                            lambda answer, problem, peer=peer: answered(peer, answer, problem))
+
     # owning
 
     def tick(self):
@@ -232,9 +238,7 @@
                 self.believe(running.highest, self.beatMs)
                 self.context.after(self.context.random.uniform(0.1, 0.4) * self.beatMs, self.pump)
 
-        for peer in group:
-            self.board.call(peer, wire.PREPARE, [list(ballot)], self.callMs,
-                            lambda answer, problem, peer=peer: answered(peer, answer, problem))
+        self.askAll(group, wire.PREPARE, [list(ballot)], self.callMs, answered)
 
     def won(self, ballot, group, found):
         if found is not None and set(found.group) != set(group):
@@ -302,9 +306,7 @@
                     self.stepDown("no majority accepted")
                 done(False)
 
-        for peer in everyone:
-            self.board.call(peer, wire.ACCEPT, [list(ballot), value.packed], self.callMs,
-                            lambda answer, problem, peer=peer: answered(peer, answer, problem))
+        self.askAll(everyone, wire.ACCEPT, [list(ballot), value.packed], self.callMs, answered)
 
     def confirm(self, done):
         """Asks the group whether this ballot still stands; `done(stands)`."""
@@ -328,9 +330,7 @@
                     self.stepDown("a colleague has promised a higher ballot")
                 done(False)
 
-        for peer in group:
-            self.board.call(peer, wire.CONFIRM, [list(ballot)], self.callMs,
-                            lambda answer, problem, peer=peer: answered(peer, answer, problem))
+        self.askAll(group, wire.CONFIRM, [list(ballot)], self.callMs, answered)
 
     def beacon(self):
         """Confirms the duty with a majority and says so to stores and registries; lets the group grow."""
@@ -468,9 +468,7 @@
             if not silent:
                 self.queue.append(waiting)
                 self.pump()
-        for peer in others:
-            self.board.call(peer, wire.WHO_OWNS, [], self.callMs * 0.3,
-                            lambda answer, problem, peer=peer: heard(peer, answer, problem))
+        self.askAll(others, wire.WHO_OWNS, [], self.callMs * 0.3, heard)
         if not others:
             self.queue.append(waiting)
             self.elect()
@@ -581,9 +579,7 @@
             self.highestRound = max(self.highestRound, self.promised[0])
             self.context.log.info("store: learned epoch %d from a majority; voting again.", value.serial if value else 0)
             self.save(lambda done: None)
-        for peer in known:
-            self.board.call(peer, wire.LEARN, [], self.callMs,
-                            lambda answer, problem, peer=peer: learned(peer, answer, problem))
+        self.askAll(known, wire.LEARN, [], self.callMs, learned)
 
     def handOver(self):
         """Before an end in order: gives the duty up, so that another may win it at once."""
--- a/stagevale/wire/switchboard.py
+++ b/stagevale/wire/switchboard.py
@@ -154,11 +154,10 @@
         handler = self.handlers.get(kind)
         if handler is None:
             raise wire.WireProblem(f"kind {kind}", stream.peer, "not handled here")
-        reply = None
         if callNo:
-            def reply(answer):
-                stream.send(wire.pack([wire.ANSWER, callNo, answer]))
-        handler(stream.peer, body, reply)
+            handler(stream.peer, body, lambda answer: stream.send(wire.pack([wire.ANSWER, callNo, answer])))
+        else:
+            handler(stream.peer, body, None)
 
     def lost(self, stream, problem):
         streams = self.streams.get(stream.peer, [])
