A candidate that finds a newer group notes the found value under its own accepted ballot

Cause: found in review: the value was noted under the candidate's higher ballot though nobody had accepted it so; a later owner could have taken it for newer than one chosen in between. Test fails without the fix.

--- a/stagevale/configuration/__init__.py
+++ b/stagevale/configuration/__init__.py
@@ -231,7 +231,7 @@
             if running.won():
                 running.over = True
                 self.electing = None
-                self.won(ballot, group, best[1])
+                self.won(ballot, group, best[1], best[0])
             elif running.lost():
                 running.over = True
                 self.electing = None
@@ -240,10 +240,11 @@
 
         self.askAll(group, wire.PREPARE, [list(ballot)], self.callMs, answered)
 
-    def won(self, ballot, group, found):
+    def won(self, ballot, group, found, foundBallot):
         if found is not None and set(found.group) != set(group):
-            if self.accepted is None or found.serial > self.accepted.serial:
-                self.accepted, self.acceptedBallot = found, min(self.promised, ballot)
+            held = (self.acceptedBallot, self.accepted.serial if self.accepted else -1)
+            if (foundBallot, found.serial) > held:
+                self.accepted, self.acceptedBallot = found, foundBallot
             self.context.log.info("store: the group has changed; balloting again.")
             self.context.after(1, self.elect)
             return
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -3,6 +3,7 @@
 
 from approval import approve
 from simworld import Fleet
+from stagevale.configuration.value import Value
 
 
 def config(version, parent, host="h.example", service="s"):
@@ -170,3 +171,17 @@
             fleet.startCore(number, False)
             fleet.world.run(2500)
     assert fleet.owners() == [owner + 1] and fleet.stores[owner].ballot == ballot
+
+
+def test_candidate_that_finds_a_newer_group_keeps_the_ballot_under_which_it_was_accepted():
+    """It noted the found value under its own, higher ballot: a later owner could have taken it for the newest."""
+    fleet = formedFleet()
+    assert fleet.insist([0], "replace", config(1, 0))[0] == 200
+    owner = fleet.owners()[0] - 1
+    stale = fleet.stores[next(number for number in range(3) if number != owner)]
+    newest = fleet.stores[owner].ballot
+    stale.accepted, stale.acceptedBallot = Value(0, 0, "", (), stale.seedStores, {}), (0, "")
+    stale.elect()
+    assert fleet.world.until(lambda: stale.accepted.serial > 0, 3000, 1)
+    assert stale.acceptedBallot <= newest
+    assert json.loads(fleet.insist([0], "read", "")[1])["version"] == "r1"
