--- a/stagevale/commands.py
+++ b/stagevale/commands.py
@@ -70,6 +70,13 @@
                 splitAddress(address, name)
     except SettingsProblem as problem:
         return misuse(f"doctor: {problem}")
+    for name, path in (("--settings", settings), ("--deploy", deploy), ("--config", config)):
+        if path:
+            try:
+                with open(path, encoding="utf-8") as file:
+                    file.read(1)
+            except (OSError, UnicodeDecodeError) as problem:
+                return misuse(f"doctor: {name}: {path} can't be read: {getattr(problem, 'strerror', None) or problem}")
     found = []
     if settings:
         found += doctoring.checkSettings(settings)
--- a/stagevale/settings/__init__.py
+++ b/stagevale/settings/__init__.py
@@ -111,5 +111,5 @@
         with open(path, encoding="utf-8") as file:
             text = file.read()
     except (OSError, UnicodeDecodeError) as problem:
-        raise SettingsProblem(f"{path}: can't be read: {problem}") from None
+        raise SettingsProblem(f"can't be read: {getattr(problem, 'strerror', None) or problem}") from None
     return readSettings(text)
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -162,7 +162,8 @@
     text = capsys.readouterr().out
     for word in ("share is 2", "serves edge as a does", "no role serves control", "unknown service other"):
         assert word in text
-    assert app(["doctor", "--config", str(tmp_path / "none")]) == 1
+    assert app(["doctor", "--config", str(tmp_path / "none")]) == 2
+    assert "--config" in capsys.readouterr().err
     assert app(["doctor", "--deploy", str(ROOT / "deploy" / "system.toml")]) == 0
 
 
