Tenants, the usage duty, partner routes in one table; a lost voter is replaced

tenants: keys in the digest, withheld from endpoints; Tenant set by us; 401; checked again when a job is offered. duties: a second register of the same manner in the registries; its owner is the holder, each win writes a higher fence, a window's counts are chosen before they are sent, every call is confirmed after its stream is open. Time is the median of the core's clocks. A member of the register's group that stays away is replaced by one outside, or leaves a group that is large enough.

--- a/stagevale/balancing/__init__.py
+++ b/stagevale/balancing/__init__.py
@@ -130,6 +130,12 @@
         known = self.rttMs.get(target.region)
         self.rttMs[target.region] = tookMs if known is None else known + 0.2 * (tookMs - known)
 
+    def wayMs(self, target):
+        """About how long a job's bytes take to an endpoint."""
+        if target.region == self.context.settings.region:
+            return 0.0
+        return self.rttMs.get(target.region, 0.0) / 2.0
+
     def mayUseCold(self, target, digest, service, nowMs):
         """While an endpoint is cold only few, agreed proxies use it, each with its share of what it bears."""
         if not self.agreed(target, digest):
@@ -161,7 +167,7 @@
         share = max(2, service.maxConns // (len(digest.proxies) + 2))
         for target in digest.targets.get(job.service, ()):
             if (target.state != READY or target.gone or not target.sound or target.area in digest.evacuated
-                    or target.id in job.tried or (route.homes and target.region not in route.homes)
+                    or target.id in job.tried or any(target.region not in homes for homes in job.homes)
                     or nowMs < target.ejectUntilMs):
                 continue
             load = target.load(nowMs)
--- a/stagevale/balancing/digest.py
+++ b/stagevale/balancing/digest.py
@@ -1,11 +1,15 @@
 """The proxy's digest: routes, services, evacuations and members at one moment, swapped whole."""
 import json
 
+from stagevale.partners import NO_TABLE, mergedTable
+from stagevale.tenants import readKeys
+
 
 class Route:
     """One route of the configuration."""
 
-    __slots__ = ("name", "pure", "timeoutMs", "targetMs", "priority", "maxAttempts", "homes", "shares", "total")
+    __slots__ = ("name", "pure", "timeoutMs", "targetMs", "priority", "maxAttempts", "homes", "shares", "total",
+                 "public", "cacheable", "partner")
 
     def __init__(self, row):
         self.name = row.get("name", "")
@@ -15,6 +19,9 @@
         self.priority = row.get("priority", 0)
         self.maxAttempts = int(row.get("maxAttempts") or 1)
         self.homes = frozenset(row.get("homeRegions") or ())
+        self.public = bool(row.get("public"))
+        self.cacheable = bool(row.get("cacheable"))
+        self.partner = None
         parts = row.get("weighted") or [{"service": row["service"], "weight": 1}]
         self.shares = tuple((part["service"], float(part["weight"])) for part in parts if part["weight"] > 0)
         self.total = sum(weight for _, weight in self.shares)
@@ -58,9 +65,10 @@
 class Digest:
     """Immutable: a change makes another one."""
 
-    __slots__ = ("serial", "hosts", "services", "limits", "evacuated", "targets", "proxies")
+    __slots__ = ("serial", "hosts", "services", "limits", "evacuated", "targets", "proxies", "keys", "partners")
 
-    def __init__(self, serial, hosts, services, limits, evacuated, targets, proxies):
+    def __init__(self, serial, hosts, services, limits, evacuated, targets, proxies, keys=None,
+                 partners=NO_TABLE):
         self.serial = serial
         self.hosts = hosts
         self.services = services
@@ -68,6 +76,8 @@
         self.evacuated = evacuated
         self.targets = targets
         self.proxies = proxies
+        self.keys = keys
+        self.partners = partners
 
     def route(self, host, path):
         """The route of this host with the longest prefix of the path, or None."""
@@ -76,17 +86,31 @@
                 return route
         return None
 
+    def partnerRoute(self, host, path, area, region, tenant):
+        """The partner's route that takes a job for which no own route is there, or None."""
+        row = self.partners.find(host, path, area, region, tenant)
+        if row is None:
+            return None
+        if row.route is None:
+            row.route = Route(row.source)
+            row.route.partner = row
+        return row.route
+
+    def with_(self, **changes):
+        """This digest with some things changed."""
+        fields = {name: getattr(self, name) for name in Digest.__slots__}
+        return Digest(**{**fields, **changes})
+
     def withTargets(self, targets):
-        return Digest(self.serial, self.hosts, self.services, self.limits, self.evacuated, targets, self.proxies)
+        return self.with_(targets=targets)
 
     def withProxies(self, proxies):
-        return Digest(self.serial, self.hosts, self.services, self.limits, self.evacuated, self.targets, proxies)
+        return self.with_(proxies=proxies)
 
     def withValue(self, value):
         """This digest with another epoch of the register's value."""
         if not value.config:
-            return Digest(value.serial, self.hosts, self.services, self.limits, frozenset(value.evacuated),
-                          self.targets, self.proxies)
+            return self.with_(serial=value.serial, evacuated=frozenset(value.evacuated))
         table = json.loads(value.config)
         hosts = {}
         for row in table["routes"]:
@@ -95,7 +119,9 @@
             rows.sort(key=lambda entry: -len(entry[0]))
         services = {row["name"]: Service(row) for row in table["services"]}
         return Digest(value.serial, {host: tuple(rows) for host, rows in hosts.items()}, services,
-                      Limits(table.get("limits") or {}), frozenset(value.evacuated), self.targets, self.proxies)
+                      Limits(table.get("limits") or {}), frozenset(value.evacuated), self.targets, self.proxies,
+                      readKeys(table.get("tenants")),
+                      mergedTable(table, value.offers) if value.offers else NO_TABLE)
 
 
 def emptyDigest():
--- a/stagevale/commands.py
+++ b/stagevale/commands.py
@@ -157,6 +157,166 @@
     return FINDINGS if hurt else 0
 
 
+partners = App(name="partners", help="Partners' offers and the one table that is merged from them.")
+cli.command(partners)
+
+
+def askControls(step, control, path, method="GET", body=None, timeoutS=10.0):
+    """Asks one control address after the other until one gives a clear answer: (address, status, answer)."""
+    from stagevale.doctoring import ask
+    from stagevale.settings import SettingsProblem, splitAddress
+    for address in control:
+        try:
+            splitAddress(address, "--control")
+        except SettingsProblem as problem:
+            return address, None, f"{step}: {problem}"
+    for address in control:
+        status, answer = ask(address, path, timeoutS, method, body)
+        if status is not None and status not in (408, 429) and status < 500:
+            break
+    return address, status, answer
+
+
+def orderOutcome(step, outcome, done):
+    """What to print and the exit code for an order: 0 done, 1 the system said no or can't be reached."""
+    address, status, answer = outcome
+    if status == 200:
+        print(done)
+        return 0
+    if status is None and isinstance(answer, str) and answer.startswith(step):
+        return misuse(answer)
+    reason = answer.get("error", answer) if isinstance(answer, dict) else answer
+    sys.stderr.write(f"stagevale: {step}: {address}: {status or 'no answer'}: {reason}\n")
+    return FINDINGS
+
+
+@partners.command
+def offer(name: str, file: str, *, control: list[str]):
+    """Put a partner's offer in force; returns once no proxy may use what it narrowed; exit 0 done, 1 refused, 2 misuse.
+
+    Parameters
+    ----------
+    name
+        the partner.
+    file
+        the offer, JSON with version, parentVersion, routes and restrictions.
+    control
+        ip:port of a registry's control; more than one are tried in turn.
+    """
+    from urllib.parse import quote
+    try:
+        with open(file, "rb") as handle:
+            body = handle.read()
+    except OSError as problem:
+        return misuse(f"partners offer: {file} can't be read: {problem.strerror}")
+    outcome = askControls("partners offer", control, f"/v1/partners/{quote(name, safe='')}/offer", "PUT", body, 15.0)
+    return orderOutcome("partners offer", outcome, f"{name}: the offer is in force")
+
+
+@partners.command
+def withdraw(name: str, *, control: list[str]):
+    """Withdraw a partner's offer; exit 0 done, 1 refused, 2 misuse.
+
+    Parameters
+    ----------
+    name
+        the partner.
+    control
+        ip:port of a registry's control; more than one are tried in turn.
+    """
+    from urllib.parse import quote
+    outcome = askControls("partners withdraw", control, f"/v1/partners/{quote(name, safe='')}/offer", "DELETE",
+                          None, 15.0)
+    return orderOutcome("partners withdraw", outcome, f"{name}: withdrawn")
+
+
+@partners.command
+def show(*, control: list[str], json_: bool = False):
+    """Show the merged table and who holds it; exit 0 all alike, 1 some differ, lag or can't say, 2 misuse.
+
+    Parameters
+    ----------
+    control
+        ip:port of a registry's control; each one is asked and compared, with the proxies that it feeds.
+    json_
+        print what was heard as JSON.
+    """
+    from stagevale.doctoring import ask
+    from stagevale.settings import SettingsProblem, splitAddress
+    heard, faults = {}, []
+    for address in control:
+        try:
+            splitAddress(address, "--control")
+        except SettingsProblem as problem:
+            return misuse(f"partners show: {problem}")
+        status, table = ask(address, "/v1/partners", 10.0)
+        if status == 200 and isinstance(table, dict):
+            heard[address] = table
+        else:
+            faults.append(f"{address}: {table.get('error') if isinstance(table, dict) else table}")
+    if not heard:
+        for fault in faults:
+            sys.stderr.write(f"stagevale: partners show: {fault}\n")
+        return FINDINGS
+    newest = max(heard.values(), key=lambda table: table["serial"])
+    for address, table in heard.items():
+        if table["mark"] != newest["mark"]:
+            faults.append(f"{address}: holds {table['mark']} of epoch {table['serial']}")
+        for row in table["proxies"] if newest["rows"] else ():
+            if row["mark"] != newest["mark"]:
+                faults.append(f"proxy {row['address']}: " + (f"holds {row['mark']} of epoch {row['serial']}"
+                                                             if row["mark"] else "has not said what it holds"))
+    if json_:
+        print(json.dumps({"table": newest, "faults": faults}, indent=1))
+        return FINDINGS if faults else 0
+    print(f"table {newest['mark']}, epoch {newest['serial']}, {len(newest['rows'])} rows")
+    for row in newest["rows"]:
+        print(f"  {'kept   ' if row['kept'] else 'dropped'} {row['host']}{row['pathPrefix']} of {row['partner']} "
+              f"{row['offer']}: {row['reason']}")
+        for words in row["withheld"]:
+            print(f"            withheld by {words}")
+    for fault in faults:
+        print(f"differs: {fault}")
+    return FINDINGS if faults else 0
+
+
+@partners.command
+def explain(host: str, path: str, *, control: list[str], zone: str = "", tenant: str = "", json_: bool = False):
+    """Show which rows are weighed for a host and path, and which wins; exit 0 one wins, 1 none does, 2 misuse.
+
+    Parameters
+    ----------
+    host
+        the host of the job.
+    path
+        the path of the job.
+    control
+        ip:port of a registry's control; more than one are tried in turn.
+    zone
+        where the job comes in.
+    tenant
+        whose job it is.
+    json_
+        print the answer as JSON.
+    """
+    from urllib.parse import urlencode
+    query = urlencode({"host": host, "path": path, "zone": zone, "tenant": tenant})
+    address, status, answer = askControls("partners explain", control, f"/v1/partners/explain?{query}")
+    if status == 400 and isinstance(answer, dict):
+        return misuse(f"partners explain: {answer.get('error')}")
+    if status != 200:
+        return orderOutcome("partners explain", (address, status, answer), "")
+    if json_:
+        print(json.dumps(answer, indent=1))
+        return 0 if answer["won"] else FINDINGS
+    for name in answer["own"]:
+        print(f"  own route {name}")
+    for row in answer["weighed"]:
+        print(f"  {row['partner']} {row['offer']} {row['pathPrefix']}: {row['against'] or 'may take it'}")
+    print(f"won: {answer['won']}" if answer["won"] else "no route takes it")
+    return 0 if answer["won"] else FINDINGS
+
+
 def app(words):
     """Runs one command; 2 for misuse."""
     try:
--- a/stagevale/configuration/__init__.py
+++ b/stagevale/configuration/__init__.py
@@ -1,8 +1,12 @@
 """The configuration part: a compare-and-set register by ballots, kept on disk by a small group of stores."""
 from stagevale import wire
 from stagevale.ballots import NO_BALLOT, Round, asBallot, majority
-from stagevale.configuration.orders import decide
+from stagevale.configuration.orders import OFFER, WITHDRAW, decide
 from stagevale.configuration.value import Value, readValue
+from stagevale.membership.state import JOINING, UP
+
+GONE_SHARE = 1.25
+GROUP_MOST = 9
 
 
 class Waiting:
@@ -18,12 +22,23 @@
 
 
 class Keeper:
-    """A store's part in the register: it votes, and where it owns the duty it carries out orders."""
+    """A daemon's part in the register: it votes, and where it owns the duty it carries out orders.
+
+    Another register of the same manner is a subclass with kinds of messages and a value of its own.
+    """
+
+    program = "store"
+    portOffset = 1
+    kinds = 0
+    prefix = "store"
+    duty = "configuration"
+    readValue = staticmethod(readValue)
 
     __slots__ = ("context", "board", "membership", "disk", "promised", "acceptedBallot", "accepted", "wiped",
                  "loaded", "dirty", "saving", "saveWaiters", "ballot", "chosen", "ownerBallot", "ownerHeardMs",
                  "electing", "queue", "busy", "unconfirmed", "seedStores", "life", "timer", "beatMs", "callMs",
-                 "highestRound", "colleagues", "stopping", "triedGrowthMs")
+                 "highestRound", "colleagues", "stopping", "triedGrowthMs", "goneSinceMs",
+                 "narrowedMs")
 
     def __init__(self, context, board, membership, disk):
         settings = context.settings
@@ -46,7 +61,7 @@
         self.queue = []
         self.busy = False
         self.unconfirmed = 0
-        self.seedStores = tuple(f"{ip}:{settings.innerPorts[0] + 1}" for ip in settings.seeds)
+        self.seedStores = tuple(f"{ip}:{settings.innerPorts[0] + self.portOffset}" for ip in settings.seeds)
         self.life = f"{context.random.getrandbits(32):08x}"
         self.beatMs = settings.bounds.contactMs / 4.0
         self.callMs = settings.bounds.ackDeadlineMs / 8.0
@@ -54,11 +69,13 @@
         self.colleagues = set()
         self.stopping = False
         self.triedGrowthMs = 0.0
+        self.goneSinceMs = {}
+        self.narrowedMs = -1e12
         for kind, handler in ((wire.PREPARE, self.onPrepare), (wire.ACCEPT, self.onAccept),
                               (wire.CONFIRM, self.onConfirm), (wire.LEARN, self.onLearn),
                               (wire.BEACON, self.onBeacon), (wire.ORDER, self.onOrder), (wire.WHO_OWNS, self.onWhoOwns),
                               (wire.READ_VALUE, self.onReadValue)):
-            board.on(kind, handler)
+            board.on(self.kinds + kind, handler)
 
     def start(self):
         """Loads what the disk holds, then begins to vote."""
@@ -67,20 +84,21 @@
     def onLoaded(self, record, problem):
         settings = self.context.settings
         if problem is not None:
-            self.context.log.error("store: the disk can't be read: %s; trying again.", problem)
+            self.context.log.error("%s: the disk can't be read: %s; trying again.", self.prefix, problem)
             self.context.after(self.beatMs, self.start)
             return
         if record is not None:
             _, promised, acceptedBallot, packed, colleagues = wire.unpack(record, "load", "disk")
             self.promised = asBallot(promised)
             self.acceptedBallot = asBallot(acceptedBallot)
-            self.accepted = readValue(packed) if packed else None
+            self.accepted = self.readValue(packed) if packed else None
             self.colleagues = set(colleagues)
             self.membership.contacts.extend(sorted(self.colleagues))
-            self.context.log.info("store: loaded epoch %d.", self.accepted.serial if self.accepted else 0)
+            self.context.log.info("%s: loaded epoch %d.", self.prefix, self.accepted.serial if self.accepted else 0)
         elif not settings.firstStart:
             self.wiped = True
-            self.context.log.warning("store: the disk is empty though this is no first start; learning first.")
+            self.context.log.warning("%s: the disk is empty though this is no first start; learning first.",
+                                     self.prefix)
         self.highestRound = self.promised[0]
         self.loaded = True
         self.save(self.begin)
@@ -113,7 +131,7 @@
         def saved(_, problem):
             self.saving = False
             if problem is not None:
-                self.context.log.error("store: saving failed: %s.", problem)
+                self.context.log.error("%s: saving failed: %s.", self.prefix, problem)
             for done in waiters:
                 done(problem is None)
             self.nextSave()
@@ -149,7 +167,7 @@
     def onAccept(self, peer, body, reply):
         ballot, packed = asBallot(body[0]), body[1]
         self.highestRound = max(self.highestRound, ballot[0])
-        value = readValue(packed)
+        value = self.readValue(packed)
         if not self.loaded or self.wiped or ballot < self.promised:
             reply([False, list(self.promised)])
             return
@@ -174,7 +192,7 @@
     def askAll(self, peers, kind, body, cutoffMs, answered):
         """Puts one question to several stores; `answered(peer, answer, problem)` is called for each."""
         for peer in peers:
-            self.board.call(peer, kind, body, cutoffMs,
+            self.board.call(peer, self.kinds + kind, body, cutoffMs,
                             lambda answer, problem, peer=peer: answered(peer, answer, problem))
 
     # owning
@@ -197,12 +215,16 @@
         if not self.inGroup() or self.stopping:
             return
         rank = group.index(self.board.address)
-        patienceMs = self.beatMs * (1.7 + 0.6 * rank)
+        patienceMs = self.patienceMs(rank)
         if self.accepted is None and rank == 0:
             patienceMs = 0
         if nowMs - self.ownerHeardMs > patienceMs:
             self.elect()
 
+    def patienceMs(self, rank):
+        """How long the owner may be silent before this member of the group stands."""
+        return self.beatMs * (1.7 + 0.6 * rank)
+
     def elect(self):
         """Runs for the duty: a round of ballots over the group."""
         if self.electing is not None or not self.loaded or self.wiped or self.stopping:
@@ -224,7 +246,7 @@
                 running.count(peer, promised, asBallot(highest))
                 self.highestRound = max(self.highestRound, highest[0])
                 if promised and packed:
-                    value = readValue(packed)
+                    value = self.readValue(packed)
                     held = (best[0], best[1].serial if best[1] else -1)
                     if (asBallot(acceptedBallot), value.serial) > held:
                         best[0], best[1] = asBallot(acceptedBallot), value
@@ -245,17 +267,27 @@
             held = (self.acceptedBallot, self.accepted.serial if self.accepted else -1)
             if (foundBallot, found.serial) > held:
                 self.accepted, self.acceptedBallot = found, foundBallot
-            self.context.log.info("store: the group has changed; balloting again.")
+            self.context.log.info("%s: the group has changed; balloting again.", self.prefix)
             self.context.after(1, self.elect)
             return
         if self.promised > ballot:
             self.pump()
             return
-        value = found or Value(0, 0, "", (), self.seedStores, {})
+        value = found or self.firstValue()
         self.ballot = ballot
+        self.narrowedMs = self.context.nowMs()
         self.busy = True
-        self.context.log.info("store: won the configuration duty, round %d, epoch %d.", ballot[0], value.serial)
-        self.accept(value, value, lambda chosen: self.pump())
+        self.context.log.info("%s: won the %s duty, round %d, epoch %d.", self.prefix, self.duty, ballot[0],
+                              value.serial)
+        self.accept(value, self.claimed(value), lambda chosen: self.pump())
+
+    def firstValue(self):
+        """What the register holds before anything was chosen."""
+        return Value(0, 0, "", (), self.seedStores, {})
+
+    def claimed(self, value):
+        """What a new owner has accepted first: the value that it found."""
+        return value
 
     def believe(self, ballot, agoMs):
         """Takes the holder of a ballot for the owner, until it has been silent for too long."""
@@ -266,7 +298,7 @@
     def stepDown(self, why):
         if self.ballot is None:
             return
-        self.context.log.info("store: gave up the configuration duty: %s.", why)
+        self.context.log.info("%s: gave up the %s duty: %s.", self.prefix, self.duty, why)
         self.ballot = None
         self.chosen = None
         self.busy = False
@@ -348,44 +380,62 @@
             self.unconfirmed = 0
             self.ownerHeardMs = self.context.nowMs()
             if self.chosen is not None:
-                for member in self.membership.others():
-                    if member.core and self.membership.reachable(member.address):
-                        self.board.cast(member.address, wire.BEACON, [list(ballot), self.chosen.serial])
+                for member in self.audience():
+                    if self.membership.reachable(member.address):
+                        self.board.cast(member.address, self.kinds + wire.BEACON, [list(ballot), self.chosen.serial])
                 self.grow()
         self.confirm(confirmed)
 
+    def audience(self):
+        """Who hears of the confirmed owner: every daemon of the core."""
+        return [member for member in self.membership.others() if member.core]
+
     def grow(self):
-        """Takes one more store into the group, until it bears whatever leaves the core settled."""
+        """Takes one more daemon into the group, until it bears whatever leaves the core settled; replaces one that is gone."""
         if self.busy or self.queue or self.chosen is None:
             return
-        stores = [member for member in self.membership.members("store") if self.membership.reachable(member.address)]
-        machines = {member.machine for member in self.membership.state.members.values() if member.core}
-        target = 2 * ((max(len(machines), 1) - 1) // 2) + 1
-        group = self.chosen.group
         nowMs = self.context.nowMs()
-        if len(group) >= min(target, 9) or nowMs - self.triedGrowthMs < self.beatMs / 2:
+        living = [member for member in self.membership.members(self.program)
+                  if self.membership.reachable(member.address)]
+        machines = {member.machine for member in living}
+        group = self.chosen.group
+        present = {member.address for member in living}
+        self.goneSinceMs = {address: self.goneSinceMs.get(address, nowMs) for address in group
+                            if address not in present and address != self.board.address}
+        outside = [member for member in living if member.address not in group and member.state in (JOINING, UP)]
+        if nowMs - self.triedGrowthMs < self.beatMs / 2:
+            return
+        borneMs = self.context.settings.bounds.contactMs * GONE_SHARE
+        gone = [address for address, sinceMs in self.goneSinceMs.items() if nowMs - sinceMs > borneMs]
+        target = min(GROUP_MOST, 2 * ((max(len(machines), 1) - 1) // 2) + 1)
+        if gone and len(group) > target:
+            self.triedGrowthMs = nowMs
+            self.busy = True
+            self.context.log.info("%s: %s is gone and leaves the group.", self.prefix, gone[0])
+            self.accept(self.chosen, self.chosen.after(group=tuple(a for a in group if a != gone[0])),
+                        lambda chosen: self.pump())
+            return
+        if not outside or not gone and len(group) >= target:
             return
         regions = {}
         for member in self.membership.state.members.values():
-            if member.address in group:
+            if member.address in group and member.address not in gone:
                 regions[member.region] = regions.get(member.region, 0) + 1
-        outside = [member for member in stores if member.address not in group]
         outside.sort(key=lambda member: regions.get(member.region, 0))
-        if not outside:
-            return
         self.triedGrowthMs = nowMs
-        comer = outside[0].address
+        comer, leaver = outside[0].address, gone[0] if gone else None
 
         def learned(answer, problem):
             if problem is not None or not answer[0] or self.busy or self.chosen is None or self.ballot is None:
                 return
-            if comer in self.chosen.group:
+            if self.chosen.group != group:
                 return
-            value = self.chosen.after(group=self.chosen.group + (comer,))
+            value = self.chosen.after(group=tuple(address for address in group if address != leaver) + (comer,))
             self.busy = True
-            self.context.log.info("store: %s joins the configuration's group.", comer)
+            self.context.log.info("%s: %s joins the group%s.", self.prefix, comer,
+                                  f" for {leaver}, which is gone" if leaver else "")
             self.accept(self.chosen, value, lambda chosen: self.pump())
-        self.board.call(comer, wire.LEARN, [], self.callMs, learned)
+        self.board.call(comer, self.kinds + wire.LEARN, [], self.callMs, learned)
 
     def publish(self, value):
         """Brings a chosen value to one registry of each region, which passes it on in its region."""
@@ -497,7 +547,7 @@
                 waiting.reply([503, "the owner can't be reached"])
         kind, body = ((wire.READ_VALUE, [True]) if waiting.order == "value"
                       else (wire.ORDER, [waiting.order, waiting.payload, True]))
-        self.board.call(owner, kind, body, self.callMs * 0.8, answered)
+        self.board.call(owner, self.kinds + kind, body, self.callMs * 0.8, answered)
 
     def expire(self):
         nowMs = self.context.nowMs()
@@ -533,20 +583,38 @@
             self.busy = True
             self.finish(waiting, [200, value.packed])
             return
-        outcome = decide(value, waiting.order, waiting.payload)
+        outcome = decide(value, waiting.order, waiting.payload, self.context.settings.areas)
         self.busy = True
         if outcome.value is None:
-            self.finish(waiting, [outcome.status, outcome.text])
+            answer = [outcome.status, outcome.text]
+            if waiting.order in (OFFER, WITHDRAW) and outcome.status == 200:
+                answer.append(self.claimsLeftMs())
+            self.finish(waiting, answer)
             return
+        narrowed = waiting.order in (OFFER, WITHDRAW) and self.isNarrower(value, outcome.value)
 
         def accepted(chosen):
-            if chosen:
+            if chosen and narrowed:
+                self.narrowedMs = self.context.nowMs()
+            if chosen and waiting.order in (OFFER, WITHDRAW):
+                waiting.reply([outcome.status, outcome.text, self.claimsLeftMs()])
+            elif chosen:
                 waiting.reply([outcome.status, outcome.text])
             else:
                 waiting.reply([503, "outcome unknown"])
             self.pump()
         self.accept(value, outcome.value, accepted)
 
+    def isNarrower(self, before, after):
+        from stagevale.partners.checking import narrows
+        return narrows(before, after)
+
+    def claimsLeftMs(self):
+        """How long a claim on partner routes may still stand that is older than the newest narrowing: an owner that
+        wasn't there when it was chosen counts from its own beginning."""
+        from stagevale.partners import waitMs
+        return int(max(0.0, self.narrowedMs + waitMs(self.context.settings.bounds) - self.context.nowMs())) + 1
+
     def finish(self, waiting, answer):
         """Answers from the chosen value, once a majority has confirmed that it is the newest."""
         ballot = self.ballot
@@ -560,7 +628,7 @@
 
     def catchUp(self):
         """A store without its disk learns from a majority of the others before it votes again."""
-        known = {member.address for member in self.membership.members("store")} | set(self.seedStores)
+        known = {member.address for member in self.membership.members(self.program)} | set(self.seedStores)
         known.discard(self.board.address)
         answers = {}
 
@@ -568,8 +636,8 @@
             if problem is not None or not self.wiped or not answer[0]:
                 return
             answers[peer] = answer
-            newest = max(answers.values(), key=lambda got: (asBallot(got[2]), readValue(got[3]).serial if got[3] else -1))
-            value = readValue(newest[3]) if newest[3] else None
+            newest = max(answers.values(), key=lambda got: (asBallot(got[2]), self.readValue(got[3]).serial if got[3] else -1))
+            value = self.readValue(newest[3]) if newest[3] else None
             group = value.group if value else self.seedStores
             if sum(1 for member in group if member in answers) < majority(len(group)):
                 return
@@ -578,7 +646,8 @@
             self.acceptedBallot = asBallot(newest[2])
             self.accepted = value
             self.highestRound = max(self.highestRound, self.promised[0])
-            self.context.log.info("store: learned epoch %d from a majority; voting again.", value.serial if value else 0)
+            self.context.log.info("%s: learned epoch %d from a majority; voting again.", self.prefix,
+                                  value.serial if value else 0)
             self.save(lambda done: None)
         self.askAll(known, wire.LEARN, [], self.callMs, learned)
 
--- a/stagevale/configuration/checking.py
+++ b/stagevale/configuration/checking.py
@@ -5,6 +5,8 @@
 import trafaret as t
 from expression import Error, Ok, Result
 
+from stagevale.tenants import tenantsProblem
+
 
 class ConfigProblem:
     """Why a configuration can't be taken: the HTTP status and a reason that names the place."""
@@ -56,6 +58,13 @@
     t.Key("homeRegions", optional=True): t.List(t.String()) | t.Null(),
     t.Key("service", optional=True): t.String(),
     t.Key("weighted", optional=True): t.List(PART, min_length=1),
+    t.Key("public", optional=True): t.Bool() | t.Null(),
+}, allow_extra="*")
+TENANT = t.Dict({
+    t.Key("name"): t.String(),
+    t.Key("apiKeys", optional=True): t.List(t.String()) | t.Null(),
+    t.Key("priority", optional=True): NUMBER | t.Null(),
+    t.Key("homeRegions", optional=True): t.List(t.String()) | t.Null(),
 }, allow_extra="*")
 SERVICE = t.Dict({
     t.Key("name"): t.String(),
@@ -70,11 +79,15 @@
     t.Key("routes"): t.List(ROUTE),
     t.Key("services"): t.List(SERVICE),
     t.Key("limits", optional=True): t.Dict({}, allow_extra="*"),
+    t.Key("tenants", optional=True): t.List(TENANT) | t.Null(),
 }, allow_extra="*")
 
 
-def readConfig(text) -> Result:
-    """The text of a configuration as Ok(table with numbers for versions), or Error(ConfigProblem)."""
+def readConfig(text, regions=()) -> Result:
+    """The text of a configuration as Ok(table with numbers for versions), or Error(ConfigProblem).
+
+    `regions` are those that tenants may have for homes; without them homes are not checked.
+    """
     try:
         raw = json.loads(text)
     except (ValueError, RecursionError) as problem:
@@ -101,6 +114,9 @@
         for target in targets:
             if target not in known:
                 return Error(ConfigProblem(400, f"{where}: unknown service {target}"))
+    problem = tenantsProblem(table.get("tenants") or (), regions)
+    if problem:
+        return Error(ConfigProblem(400, problem))
     return Ok(table)
 
 
--- a/stagevale/configuration/orders.py
+++ b/stagevale/configuration/orders.py
@@ -2,6 +2,7 @@
 from stagevale.configuration.checking import ConfigProblem, fingerprint, readConfig
 
 REPLACE, EVACUATE, TAKE_BACK, READ = "replace", "evacuate", "takeBack", "read"
+OFFER, WITHDRAW, READ_OFFER, SERIAL = "offer", "withdraw", "readOffer", "serial"
 
 
 class Outcome:
@@ -15,7 +16,7 @@
         self.value = value
 
 
-def decide(value, order, payload):
+def decide(value, order, payload, areas):
     """The outcome of an order on top of the chosen value; the value stays as it is."""
     if order == READ:
         return Outcome(200, value.config) if value.config else Outcome(404, "no configuration yet")
@@ -27,8 +28,15 @@
         if payload not in value.evacuated:
             return Outcome(200)
         return Outcome(200, value=value.after(evacuated=tuple(z for z in value.evacuated if z != payload)))
+    if order == SERIAL:
+        return Outcome(200, str(value.serial))
+    if order in (OFFER, WITHDRAW, READ_OFFER):
+        from stagevale.partners import checking
+        if order == OFFER:
+            return checking.offered(value, payload, areas, Outcome)
+        return (checking.withdrawn if order == WITHDRAW else checking.readBack)(value, payload, Outcome)
     if order == REPLACE:
-        checked = readConfig(payload)
+        checked = readConfig(payload, frozenset(areas.values()))
         if checked.is_error():
             problem: ConfigProblem = checked.error
             return Outcome(problem.status, problem.reason)
--- a/stagevale/context/__init__.py
+++ b/stagevale/context/__init__.py
@@ -25,6 +25,10 @@
         """The steady clock in milliseconds."""
         return time.monotonic() * 1000.0
 
+    def wallMs(self):
+        """The time of day in milliseconds, as this machine has it; it may be wrong and may jump."""
+        return time.time() * 1000.0
+
     def after(self, delayMs, call, *args):
         """Runs `call` once after a delay; the answer has `cancel`."""
         return self.loop.call_later(delayMs / 1000.0, call, *args)
--- a/stagevale/doctoring/__init__.py
+++ b/stagevale/doctoring/__init__.py
@@ -22,12 +22,12 @@
         return {"where": self.where, "fault": self.fault, "remedy": self.remedy}
 
 
-def ask(address, path, timeoutS=3.0):
-    """GET at ip:port; returns (status, parsed JSON or None), or (None, reason) where no answer comes."""
+def ask(address, path, timeoutS=3.0, method="GET", body=None):
+    """One call at ip:port, a GET unless said otherwise; returns (status, parsed JSON or None), or (None, reason) where no answer comes."""
     ip, port = splitAddress(address, "address")
     stream = http.client.HTTPConnection(ip, port, timeout=timeoutS)
     try:
-        stream.request("GET", path)
+        stream.request(method, path, body)
         answer = stream.getresponse()
         data = answer.read(64 * 1024 * 1024)
     except (OSError, http.client.HTTPException) as problem:
@@ -165,6 +165,14 @@
               if member["program"] == "store" and member["state"] in ("joining", "up") and member["reachable"]}
     if votes and len(set(votes) & stores) <= len(votes) // 2:
         found.append(Finding(control, "no majority of the configuration's voters is up", "start their stores"))
+    for duty, row in sorted((stand.get("duties") or {}).items()):
+        if row["overdue"]:
+            found.append(Finding(f"duty {duty}", f"windows overdue at the platform: "
+                                 f"{', '.join(str(window) for window in row['overdue'])}",
+                                 "is the platform reachable from the core? see the log lines that begin with duties:"))
+        if not row["holder"] or row["heardMs"] > row["borneMs"]:
+            found.append(Finding(f"duty {duty}", "it has no holder", "a majority of its voters must run: "
+                                 + ", ".join(row["votes"])))
     if stand.get("evacuated"):
         found.append(Finding(control, f"evacuated: {', '.join(stand['evacuated'])}", "take back what is meant to serve"))
     sound = {}
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -4,6 +4,7 @@
 from stagevale import wire
 from stagevale.balancing import Target
 from stagevale.configuration.value import readValue
+from stagevale.duties.counts import WindowCounts
 from stagevale.placement import place
 from stagevale.programs import Daemon
 from stagevale.registrations import GONE, READY, lifeFromFields
@@ -20,7 +21,7 @@
     """The daemon on an edge machine."""
 
     __slots__ = ("relay", "targets", "feeder", "feederHeardMs", "subscribed", "shunned",
-                 "livesHeard", "intervalMs", "frontServer", "reportedMs")
+                 "livesHeard", "intervalMs", "frontServer", "reportedMs", "life", "asking")
 
     def __init__(self, context, path):
         super().__init__(context, "proxy", 0, path)
@@ -33,12 +34,17 @@
         self.livesHeard = False
         self.frontServer = None
         self.reportedMs = 0.0
+        self.life = f"{context.random.getrandbits(32):08x}"
+        if "usage_report" in context.settings.duties:
+            self.relay.counts = WindowCounts(context.settings.bounds)
         self.intervalMs = context.settings.bounds.contactMs / 4.0
         self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
         self.membership.epochHook = self.epochHeard
         self.membership.changeHooks.append(self.membersChanged)
         self.board.on(wire.FEED, self.onFeed)
         self.board.on(wire.FEED_PING, self.onFeedPing)
+        self.board.on(wire.CLAIM, self.onClaim)
+        self.asking = False
         self.board.lostHooks.append(self.streamLost)
 
     def begin(self):
@@ -118,7 +124,8 @@
         else:
             best = self.feeders()[0]
             table = self.membership.state.table.get("feeds-" + self.context.settings.area, ())
-            if best != self.feeder and self.feeder not in table and best in table and self.subscribed:
+            if best != self.feeder and self.subscribed and (best in table and self.feeder not in table
+                                                            or not table and self.nearer(best)):
                 self.board.cast(self.feeder, wire.UNSUBSCRIBE, [])
                 self.feeder = best
                 self.feederHeardMs = nowMs
@@ -126,6 +133,13 @@
                 return
             self.subscribe(self.relay.digest.serial, False)
 
+    def nearer(self, best):
+        """Before there is a table: a registry of the own area goes over one of another."""
+        members = self.membership.state.members
+        area = self.context.settings.area
+        return best in members and members[best].area == area and (
+            self.feeder not in members or members[self.feeder].area != area)
+
     def subscribe(self, serial, anew):
         listen = self.context.settings.listen["front"]
         settings = self.context.settings
@@ -136,8 +150,19 @@
                       [[target.id, round(target.speed, 2)] for target in self.targets.values() if target.speed != 1.0],
                       [[region, round(rttMs, 1)] for region, rttMs in self.relay.chooser.rttMs.items()]]
             self.reportedMs = nowMs
+        table = self.relay.digest.partners
         self.board.cast(self.feeder, wire.SUBSCRIBE, [f"{listen[0]}:{listen[1]}", settings.area, settings.region,
-                                                      self.ready(), serial if not anew else min(serial, -1), report])
+                                                      self.ready(), serial if not anew else min(serial, -1), report]
+                        + ([self.relay.digest.serial, table.mark] if table.rows else []))
+        self.tellCounts(anew)
+
+    def tellCounts(self, everything):
+        """Tells the feeder how many jobs of each tenant began, a window at a time."""
+        counts = self.relay.counts
+        if counts is None or counts.offsetMs is None or self.feeder is None:
+            return
+        self.board.cast(self.feeder, wire.USAGE, [self.life, counts.trueMs(self.context.nowMs()),
+                                                  counts.rows(everything)])
 
     def changeFeeder(self, why):
         self.context.log.info("proxy: feeder %s is left: %s.", self.feeder, why)
@@ -151,12 +176,14 @@
             self.changeFeeder("its stream was lost")
 
     def onFeedPing(self, peer, body, reply):
-        serial, contact = body
+        serial, contact, *clock = body
         if peer != self.feeder:
             self.board.cast(peer, wire.UNSUBSCRIBE, [])
             return
         self.feederHeardMs = self.context.nowMs()
         self.subscribed = True
+        if clock and self.relay.counts is not None:
+            self.relay.counts.told(clock[0], self.feederHeardMs)
         if not contact:
             self.board.cast(peer, wire.UNSUBSCRIBE, [])
             self.changeFeeder("it is out of touch with the core")
@@ -194,10 +221,30 @@
         elif not hasValue:
             self.livesHeard = True
         self.relay.digest = digest
+        if digest.partners.rows and not self.asking:
+            self.asking = True
+            self.askClaim()
         if self.ready() != wasReady and self.feeder is not None:
             self.subscribe(digest.serial, False)
         self.relay.pumpAll()
 
+    def askClaim(self):
+        """While partners offer anything: asks the feeder again and again whether this table is the newest."""
+        if not self.relay.digest.partners.rows:
+            self.asking = False
+            return
+        claim = self.relay.claim
+        self.context.after(claim.lengthMs / 5.0, self.askClaim)
+        if self.feeder is not None and self.subscribed:
+            self.board.cast(self.feeder, wire.CLAIM_WANTED, [claim.ask(self.context.nowMs())])
+
+    def onClaim(self, peer, body, reply):
+        askNo, newest = body
+        self.relay.claim.granted(askNo, newest, self.relay.digest.serial)
+        if newest > self.relay.digest.serial and peer == self.feeder:
+            self.board.cast(peer, wire.PULL, [self.relay.digest.serial])
+        self.relay.pumpAll()
+
     def takenBack(self, area, digest, nowMs):
         """Endpoints of a zone that is taken back count as cold until fresh word says otherwise."""
         for target in self.targets.values():
@@ -257,6 +304,11 @@
         self.context.after(graceMs * 0.4, self.closeFront)
         self.context.after(graceMs * 0.85, self.finish)
 
+    def finish(self):
+        """The last word on what began here goes to the feeder before the end."""
+        self.tellCounts(False)
+        self.context.after(20, super().finish)
+
     def closeFront(self):
         """Takes no new streams; those that are idle end, the others end with their last answer."""
         if self.frontServer is not None:
--- a/stagevale/programs/registry.py
+++ b/stagevale/programs/registry.py
@@ -2,6 +2,9 @@
 import os
 
 from stagevale.configuration.disk import DiskRegister, Folder
+from stagevale.duties import USAGE_DUTY, DutyKeeper
+from stagevale.duties.counts import Ledger
+from stagevale.duties.trueTime import TrueTime
 from stagevale.placement import place
 from stagevale.programs import Daemon
 from stagevale.registrations.calls import CallStream, dispatcher
@@ -14,12 +17,13 @@
 class Registry(Daemon):
     """The daemon beside the store on a core machine that all calls from outside come to."""
 
-    __slots__ = ("desk", "dispatch")
+    __slots__ = ("desk", "dispatch", "duties")
 
     def __init__(self, context, path):
         super().__init__(context, "registry", 0, path)
         bounds = context.settings.bounds
         self.desk = Desk(context, self.board, self.membership)
+        self.duties = None
         self.dispatch = dispatcher(context, self.desk, bounds.ttl_max_s * TTL_SHARE)
         self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.areas)
 
@@ -30,18 +34,36 @@
             folder = os.path.join(folder, "registry")
             os.makedirs(folder, exist_ok=True)
             self.desk.remember(self.openDisk(folder))
+            if USAGE_DUTY in self.context.settings.duties:
+                self.takePart(self.openDisk(self.dutiesFolder()))
         self.desk.start()
         for name in ("control", "directory"):
             address = self.context.settings.listen.get(name)
             if address:
                 self.context.listen(address, lambda: CallStream(self.context, self.dispatch))
 
+    def dutiesFolder(self):
+        folder = os.path.join(self.context.settings.dataPath, "duties")
+        os.makedirs(folder, exist_ok=True)
+        return folder
+
+    def takePart(self, disk):
+        """Takes part in the duties at the platform; without any in the settings this costs nothing."""
+        desk = self.desk
+        desk.trueTime = TrueTime(self.context, desk.coreSize)
+        desk.ledger = Ledger(self.context.settings.bounds, lambda: list(desk.subscribers))
+        self.duties = desk.duties = DutyKeeper(self.context, self.board, self.membership, disk, desk.ledger,
+                                               desk.trueTime)
+        self.duties.start()
+
     def openDisk(self, folder):
         return DiskRegister(Folder(folder))
 
     def end(self):
         """Leaves in order: hands its parts over, then exits and ends."""
         self.desk.stopping = True
+        if self.duties is not None:
+            self.duties.handOver()
         self.membership.leave()
         for part in list(self.desk.owners):
             if self.desk.owners[part][0] == self.board.address:
--- a/stagevale/rehearsing/__init__.py
+++ b/stagevale/rehearsing/__init__.py
@@ -112,11 +112,12 @@
 class Trial:
     """One job in the model."""
 
-    __slots__ = ("route", "service", "startMs", "tried", "expectedMs", "flow", "front", "runs")
+    __slots__ = ("route", "service", "startMs", "tried", "expectedMs", "flow", "front", "runs", "homes")
 
     def __init__(self, flow, front, startMs):
         self.flow, self.front = flow, front
         self.route, self.service = flow.route, flow.service
+        self.homes = (flow.route.homes,) if flow.route.homes else ()
         self.startMs, self.tried, self.expectedMs, self.runs = startMs, (), None, 0
 
 
--- a/stagevale/relaying/__init__.py
+++ b/stagevale/relaying/__init__.py
@@ -2,6 +2,7 @@
 from stagevale.balancing import Chooser
 from stagevale.balancing.budget import Budget
 from stagevale.balancing.digest import emptyDigest
+from stagevale.partners.claim import Claim
 
 SHED_SHARE = 0.2
 RETRY_SHARE = 0.12
@@ -14,7 +15,8 @@
 
     __slots__ = ("stream", "parser", "method", "target", "host", "path", "headers", "body", "attemptId", "deadlineMs",
                  "startMs", "cutoffMs", "route", "service", "tries", "tried", "answer", "closes", "begun", "carriers",
-                 "timer", "offered", "sentMs", "wasQueued", "expectedMs", "ran")
+                 "timer", "offered", "sentMs", "wasQueued", "expectedMs", "ran", "credentials", "tenant", "priority",
+                 "homes", "checkedFor", "window")
 
     def __init__(self, stream, parser, request, body, startMs):
         self.stream = stream
@@ -42,13 +44,19 @@
         self.attemptId = None
         self.deadlineMs = None
         self.host = self.path = ""
+        self.credentials = None
+        self.tenant = None
+        self.priority = 0
+        self.homes = ()
+        self.checkedFor = None
+        self.window = None
 
 
 class Relay:
     """Carries jobs between clients' streams and endpoints' streams."""
 
     __slots__ = ("context", "digest", "chooser", "budgets", "waiting", "streams", "leaving", "running",
-                 "hopHeaders", "makeStream", "bornMs", "flows")
+                 "hopHeaders", "makeStream", "bornMs", "flows", "counts", "claim")
 
     def __init__(self, context, address, makeStream, hopHeaders):
         self.context = context
@@ -61,6 +69,8 @@
         self.leaving = False
         self.bornMs = context.nowMs()
         self.running = 0
+        self.counts = None
+        self.claim = Claim(context.settings.bounds)
         self.makeStream = makeStream
         self.hopHeaders = hopHeaders | {b"deadline-ms", b"expect-instance", b"expect"}
 
@@ -78,6 +88,8 @@
                 job.attemptId = value
             elif lower == b"deadline-ms":
                 job.deadlineMs = float(value) if value.isdigit() else None
+            elif lower == b"authorization":
+                job.credentials = value if job.credentials is None else b""
         named.discard(b"close")
         named -= {b"host", b"attempt-id"}
         for name, value in job.headers:
@@ -95,17 +107,65 @@
             self.own(job, 503, "no configuration yet", job.startMs)
             return
         job.route = digest.route(job.host, job.path)
+        if job.route is None and digest.partners.rows:
+            job.route = self.partnerRoute(job, digest)
         if job.route is None:
             self.own(job, 404, "no route")
             return
         if job.attemptId is None:
             self.own(job, 400, "no Attempt-Id")
             return
+        if not self.admit(job, digest):
+            self.own(job, 401, "no key that is known")
+            return
         job.service = job.route.service(self.context.random)
         waitMs = job.route.timeoutMs if job.deadlineMs is None else min(job.deadlineMs, job.route.timeoutMs)
         job.cutoffMs = job.startMs + waitMs
         self.budget(job.service).note(job.startMs)
 
+    def admit(self, job, digest):
+        """Finds the tenant whose key the job bears; the key is withheld and `Tenant` set. False without a needed key."""
+        job.checkedFor = digest.serial
+        route = job.route
+        job.priority, job.homes = route.priority, (route.homes,) if route.homes else ()
+        if digest.keys is None:
+            return True
+        tenant = job.tenant = digest.keys.tenant(job.credentials)
+        job.headers = [row for row in job.headers if row[0].lower() not in (b"authorization", b"tenant")]
+        if tenant is None:
+            return route.public
+        job.headers.append((b"Tenant", tenant.header))
+        if tenant.priority is not None:
+            job.priority = tenant.priority
+        if tenant.homes:
+            job.homes += (tenant.homes,)
+        return True
+
+    def partnerRoute(self, job, digest):
+        """The partner's route for a job: what partners decline to pass on depends on where it came and whose it is."""
+        settings = self.context.settings
+        tenant = digest.keys.tenant(job.credentials) if digest.keys is not None else None
+        return digest.partnerRoute(job.host, job.path, settings.area, settings.region, tenant.name if tenant else "")
+
+    def mayOffer(self, job):
+        """Looks again, at the moment of offering, whether a job may still go where it is about to go."""
+        digest = self.digest
+        if job.route.partner is not None:
+            if job.checkedFor != digest.serial:
+                route = digest.route(job.host, job.path) or self.partnerRoute(job, digest)
+                if route is None or route.partner is None or (route.partner.partner, route.partner.prefix) != \
+                        (job.route.partner.partner, job.route.partner.prefix) or job.service not in route.partner.services:
+                    self.own(job, 502 if job.ran else 404, "the partner's route was withheld")
+                    return False
+                job.route = route
+            if not self.claim.holds(self.context.nowMs()):
+                self.giveBack(job, "partner routes wait for word from the core")
+                return False
+        if job.checkedFor != digest.serial and not self.admit(job, digest):
+            self.own(job, 502 if job.ran else 401, "its key was taken away")
+            return False
+        return True
+
     def budget(self, service):
         budget = self.budgets.get(service)
         if budget is None:
@@ -122,6 +182,8 @@
     def offer(self, job):
         """Sends a job to the best endpoint, has it wait for one, or sheds it while shedding still is early."""
         nowMs = self.context.nowMs()
+        if (job.checkedFor != self.digest.serial or job.route.partner is not None) and not self.mayOffer(job):
+            return
         target = self.chooser.choose(job, self.digest, nowMs)
         if target is not None and nowMs + job.expectedMs * 0.5 > job.cutoffMs and not job.offered:
             target = None
@@ -132,7 +194,7 @@
                 return
             queue = self.waiting.setdefault(job.service, [])
             queue.append(job)
-            queue.sort(key=lambda waiting: (waiting.route.priority, waiting.startMs))
+            queue.sort(key=lambda waiting: (waiting.priority, waiting.startMs))
             self.context.after(patienceMs + 1, self.tired, job)
             return
         self.offerTo(job, target, nowMs)
@@ -158,7 +220,7 @@
         """A repeatable job whose endpoint has been silent for long is sent to a second one beside it."""
         nowMs = self.context.nowMs()
         if (job.answer is not None or not job.carriers or job.tries >= job.route.maxAttempts
-                or target.answeredMs > sentMs or nowMs + self.chooser.workMs(job.route) * 0.7 > job.cutoffMs):
+                or target.answeredMs > sentMs or job.route.partner is not None or nowMs + self.chooser.workMs(job.route) * 0.7 > job.cutoffMs):
             return
         if not self.budget(job.service).allows(nowMs, len(self.digest.proxies)):
             return
@@ -190,6 +252,8 @@
     def sent(self, job, target):
         """The job's bytes go out now."""
         job.sentMs = self.context.nowMs()
+        if self.counts is not None and job.tenant is not None and job.window is None and not job.route.cacheable:
+            job.window = self.counts.began(job.tenant.name, job.sentMs + self.chooser.wayMs(target))
         flow = self.flows.setdefault((job.route.name, job.service), {})
         if job.tries > 1:
             self.budget(job.service).spend(job.sentMs)
@@ -205,6 +269,10 @@
         job.carriers = [stream for stream in job.carriers if stream.target is not target]
         self.context.soon(self.pump, target.service)
 
+    def unoffered(self, job, target):
+        """The job was answered at the last moment before its first byte would have gone out."""
+        self.release(job, target)
+
     def notSent(self, job, target, problem):
         """Nothing of the job was written: it may go elsewhere whatever its kind."""
         self.release(job, target)
@@ -269,6 +337,9 @@
                 target.gone = True
             return
         if notRun:
+            if job.window is not None and not job.ran:
+                self.counts.undo(job.window, job.tenant.name)
+                job.window = None
             if status == 421:
                 target.gone = True
             elif status == 503:
@@ -289,6 +360,8 @@
                 self.own(job, 502, "not the endpoint's own answer")
                 return
             target.served()
+            if self.counts is not None and job.tenant is not None and job.route.cacheable:
+                self.counts.began(job.tenant.name, nowMs)
             self.chooser.learn(job.route, target, nowMs - job.sentMs, job.wasQueued)
             self.chooser.weigh(job.route, len(job.body) + len(answer.body))
         elif status >= 500 and job.route.pure and self.again(job, target, nowMs):
--- a/stagevale/relaying/endpoint.py
+++ b/stagevale/relaying/endpoint.py
@@ -104,6 +104,11 @@
             self.close()
             self.relay.broken(job, self.target, f"can't be sent: {problem}", False)
             return
+        if (job.checkedFor != self.relay.digest.serial or job.route.partner is not None) and not self.relay.mayOffer(job):
+            self.job = None
+            self.close()
+            self.relay.unoffered(job, self.target)
+            return
         self.written = True
         self.relay.sent(job, self.target)
         self.transport.write(data)
--- a/stagevale/settings/__init__.py
+++ b/stagevale/settings/__init__.py
@@ -11,6 +11,7 @@
     "applyMs": 2500, "revertSlackMs": 250, "stretchMaxMs": 6000, "retryRatio": 0.2,
     "retryWindowS": 10, "retryExtra": 60, "coldExcess": 1.5, "coldMargin": 5,
     "evacuateMs": 5000, "recoveryS": 15, "ttl_max_s": 5,
+    "leaseMs": 3000, "reportWindowS": 5, "usageDelayS": 10,
 }
 
 
@@ -29,7 +30,8 @@
             if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
                 raise SettingsProblem(f"bounds.{name}: want a number not below 0, got {value!r}")
             setattr(self, name, value)
-        for name in ("contactMs", "ackDeadlineMs", "gracePeriodS", "applyMs", "retryWindowS"):
+        for name in ("contactMs", "ackDeadlineMs", "gracePeriodS", "applyMs", "retryWindowS", "leaseMs", "reportWindowS",
+                     "usageDelayS"):
             if getattr(self, name) <= 0:
                 raise SettingsProblem(f"bounds.{name}: want a number above 0")
 
@@ -39,7 +41,7 @@
 
     __slots__ = ("name", "machineClass", "ip", "area", "region", "counted", "firstStart", "dataPath",
                  "memoryMb", "fileLimit", "innerPorts", "seeds", "listen", "areas", "beatMs",
-                 "tolerance", "bounds", "policyPath")
+                 "tolerance", "bounds", "policyPath", "platform", "duties", "dutyPerS")
 
 
 def splitAddress(text, field):
@@ -97,6 +99,15 @@
     settings.tolerance = dict(table.get("tolerance", {}))
     settings.bounds = Bounds(table.get("bounds", {}))
     settings.policyPath = take(table, "policy", "path", str, "")
+    platform = take(table, "platform", "address", str, "")
+    settings.platform = splitAddress(platform, "platform.address") if platform else None
+    duties = take(table, "platform", "duties", list, []) if platform else []
+    if not all(isinstance(duty, str) for duty in duties):
+        raise SettingsProblem(f"platform.duties: want a list of names, got {duties!r}")
+    settings.duties = tuple(duties)
+    settings.dutyPerS = take(table, "platform", "dutyPerS", (int, float), 10)
+    if isinstance(settings.dutyPerS, bool) or settings.dutyPerS <= 0:
+        raise SettingsProblem(f"platform.dutyPerS: want a number above 0, got {settings.dutyPerS!r}")
     return settings
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -103,18 +103,25 @@
 class Scene:
     """One proxy with a given configuration and endpoints, without a core."""
 
-    def __init__(self, seed=1, routes=None):
+    def __init__(self, seed=1, routes=None, more=None, settings=""):
         self.world = World(seed)
         self.world.regions["10.0.1.1"] = self.world.regions["10.7.0.1"] = "a"
-        self.context = SimContext(self.world, readSettings(PROXY_SETTINGS), "proxy")
+        self.context = SimContext(self.world, readSettings(PROXY_SETTINGS + settings), "proxy")
         self.proxy = Proxy(self.context, "/none")
         self.proxy.begin()
         self.endpoints = []
         routes = routes or [route("pure", "/p/"), route("effectful", "/e/")]
-        config = {"version": "r1", "routes": routes,
-                  "services": [{"name": name, "maxConns": 50, "warmupS": 3, "coldPerS": 6} for name in ("s", "t")],
-                  "limits": {"headerMaxBytes": 2000, "bodyMaxBytes": 5000, "headerReadMs": 1000, "idleMs": 5000}}
-        self.value = Value(1, 1, json.dumps(config), (), (), {})
+        self.config = {"version": "r1", "routes": routes,
+                       "services": [{"name": name, "maxConns": 50, "warmupS": 3, "coldPerS": 6} for name in ("s", "t")],
+                       "limits": {"headerMaxBytes": 2000, "bodyMaxBytes": 5000, "headerReadMs": 1000, "idleMs": 5000},
+                       **(more or {})}
+        self.value = Value(1, 1, json.dumps(self.config), (), (), {})
+        self.digest(self.value)
+
+    def change(self, **more):
+        """The next configuration, with these things changed."""
+        self.config = {**self.config, **more}
+        self.value = self.value.after(version=self.value.version + 1, config=json.dumps(self.config))
         self.digest(self.value)
 
     def digest(self, value):
