--- a/stagevale/balancing/__init__.py
+++ b/stagevale/balancing/__init__.py
@@ -12,9 +12,6 @@
 SILENCE_EXPECTED = 2.0
 QUEUE_FACTOR = 2.0
 KEEP_COST = 0.7
-ADVISED_COST = 3.0
-SILENCE_SURE = 1.25
-REPORT_SHARE = 0.1
 
 
 class Target:
@@ -22,7 +19,7 @@
 
     __slots__ = ("id", "service", "address", "area", "region", "slots", "state", "sound", "coldSeq", "coldUntilMs",
                  "outstanding", "idle", "open", "speed", "others", "othersMs", "ejectUntilMs", "problems", "coldSent",
-                 "gone", "silentSinceMs", "answeredMs", "advisedMs", "advisedForMs", "reportedMs")
+                 "gone", "silentSinceMs", "answeredMs")
 
     def __init__(self, id, service, address, area, region, slots):
         self.id = id
@@ -47,9 +44,6 @@
         self.gone = False
         self.silentSinceMs = 0.0
         self.answeredMs = 0.0
-        self.advisedMs = -1e12
-        self.advisedForMs = 0.0
-        self.reportedMs = -1e12
 
     def took(self, nowMs):
         """Counts a job that is given to the endpoint."""
@@ -62,10 +56,6 @@
         self.outstanding -= 1
         self.silentSinceMs = nowMs
 
-    def advised(self, nowMs, pure):
-        """True while colleagues' evidence against the endpoint holds; repeatable jobs try it again first."""
-        return nowMs < self.advisedMs + self.advisedForMs * (1.0 if pure else 1.5)
-
     def silentMs(self, nowMs):
         """For how long the endpoint has had jobs and given nothing back."""
         return nowMs - self.silentSinceMs if self.outstanding > 0 else 0.0
@@ -95,7 +85,7 @@
 class Chooser:
     """Chooses among allowed endpoints by expected time, nearness and own outstanding jobs."""
 
-    __slots__ = ("context", "work", "address", "rttMs", "bytes", "meanBytes", "serviceWork", "policy", "report")
+    __slots__ = ("context", "work", "address", "rttMs", "bytes", "meanBytes", "serviceWork", "policy")
 
     def __init__(self, context, address):
         self.context = context
@@ -106,13 +96,6 @@
         self.meanBytes = 2000.0
         self.serviceWork = {}
         self.policy = None
-        self.report = None
-
-    def witness(self, target, nowMs):
-        """Tells the feeder of evidence against an endpoint, now and then while it lasts."""
-        if self.report is not None and nowMs - target.reportedMs > self.context.settings.bounds.contactMs * REPORT_SHARE:
-            target.reportedMs = nowMs
-            self.report(target)
 
     def workMs(self, route):
         """What a job of this route takes at an endpoint of usual speed, as learned."""
@@ -208,14 +191,7 @@
                 cost = tookMs + route.targetMs * AREA_COST * bulk
             if target.id == job.prefers:
                 cost *= KEEP_COST
-            silentMs = target.silentMs(nowMs)
-            usualMs = SILENCE_EXPECTED * mixed * target.speed
-            if silentMs > usualMs:
-                cost += SILENCE_COST * (silentMs - usualMs)
-                if silentMs > usualMs * SILENCE_SURE:
-                    self.witness(target, nowMs)
-            if target.advised(nowMs, route.pure):
-                cost += route.targetMs * ADVISED_COST
+            cost += SILENCE_COST * max(0.0, target.silentMs(nowMs) - SILENCE_EXPECTED * mixed * target.speed)
             cost += max(0.0, tookMs * LATE_MARGIN - leftMs) * LATE_COST
             if self.policy is not None:
                 cost = self.policy.cost(job, target, cost, load)
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -44,8 +44,6 @@
         self.board.on(wire.FEED, self.onFeed)
         self.board.on(wire.FEED_PING, self.onFeedPing)
         self.board.on(wire.CLAIM, self.onClaim)
-        self.board.on(wire.ADVICE, self.onAdvice)
-        self.relay.chooser.report = self.tellEvidence
         self.asking = False
         self.board.lostHooks.append(self.streamLost)
 
@@ -235,17 +233,6 @@
             self.subscribe(digest.serial, False)
         self.relay.pumpAll()
 
-    def tellEvidence(self, target):
-        if self.feeder is not None and self.subscribed:
-            self.board.cast(self.feeder, wire.EVIDENCE, [target.id])
-
-    def onAdvice(self, peer, body, reply):
-        """Several proxies have seen an endpoint fail: it is a last resort here too, for a while."""
-        for id, forMs in body:
-            target = self.targets.get(id)
-            if target is not None:
-                target.advisedMs, target.advisedForMs = self.context.nowMs(), forMs
-
     def askClaim(self):
         """While partners offer anything: asks the feeder again and again whether this table is the newest."""
         if not self.relay.digest.partners.rows:
--- a/stagevale/registrations/desk.py
+++ b/stagevale/registrations/desk.py
@@ -37,25 +37,13 @@
         self.table = []
 
 
-class Evidence:
-    """What proxies have told against one endpoint, and the advice that came of it."""
-
-    __slots__ = ("tellers", "untilMs", "times", "lastMs")
-
-    def __init__(self):
-        self.tellers = {}
-        self.untilMs = -1e12
-        self.times = 0
-        self.lastMs = -1e12
-
-
 class Desk:
     """One registry's knowledge of endpoints, proxies and the chosen configuration, and how it spreads."""
 
     __slots__ = ("context", "board", "membership", "lives", "value", "valueHeardMs", "subscribers", "attached",
                  "pingHeardMs", "voter", "owners", "rounds", "life", "heardIds", "pulling", "intervalMs", "ports",
                  "startedMs", "stopping", "movesRunning", "roundNo", "disk", "savedMark", "saving", "trueTime", "ledger",
-                 "duties", "unfed", "feeding", "claimants", "confirming", "partners", "sessions", "openLog", "evidence")
+                 "duties", "unfed", "feeding", "claimants", "confirming", "partners", "sessions", "openLog")
 
     def __init__(self, context, board, membership):
         self.context = context
@@ -87,7 +75,6 @@
         self.claimants = []
         self.confirming = False
         self.partners = NO_TABLE
-        self.evidence = {}
         self.sessions = None
         self.openLog = self.sessionLog
         self.trueTime = self.ledger = self.duties = None
@@ -98,8 +85,7 @@
                               (wire.UNSUBSCRIBE, self.onUnsubscribe), (wire.PULL, self.onPull),
                               (wire.ATTACHED, self.onAttached), (wire.ATTACHED_WANTED, self.onAttachedWanted),
                               (wire.READ_VALUE, self.onValueWanted), (wire.USAGE, self.onUsage),
-                              (wire.CLAIM_WANTED, self.onClaimWanted), (wire.EVIDENCE, self.onEvidence),
-                              (wire.ADVICE, self.onAdvice)):
+                              (wire.CLAIM_WANTED, self.onClaimWanted)):
             board.on(kind, handler)
         board.lostHooks.append(self.streamLost)
         membership.changeHooks.append(self.placementChanged)
@@ -341,50 +327,6 @@
             self.feeding = True
             self.context.after(self.intervalMs * FEED_SHARE, self.feedNow)
 
-    def onEvidence(self, peer, body, reply):
-        """A proxy has seen an endpoint silent or failing. Two that did within a short time are taken at their word, one
-        may have trouble of its own; more than a third of a service's endpoints at a time means that the fault is ours."""
-        id = body[0]
-        life = self.lives.byId.get(id)
-        if life is None:
-            return
-        nowMs = self.context.nowMs()
-        evidence = self.evidence.setdefault(id, Evidence())
-        evidence.tellers[peer] = nowMs
-        evidence.tellers = {proxy: ms for proxy, ms in evidence.tellers.items() if nowMs - ms < self.intervalMs * 1.5}
-        if len(evidence.tellers) < 2 or nowMs < evidence.untilMs:
-            return
-        advised = sum(1 for other, row in self.evidence.items() if row.untilMs > nowMs and other in self.lives.byId
-                      and self.lives.byId[other].service == life.service)
-        alike = sum(1 for other in self.lives.byId.values() if other.service == life.service and other.sound
-                    and other.state == READY)
-        if (advised + 1) * 3 > alike:
-            return
-        evidence.times = evidence.times + 1 if nowMs - evidence.lastMs < self.intervalMs * 12 else 1
-        forMs = self.intervalMs * min(8, 2 ** (evidence.times - 1))
-        evidence.untilMs, evidence.lastMs = nowMs + forMs, nowMs
-        evidence.tellers = {}
-        self.context.log.info("registry: %s of %s is a last resort for %d ms, proxies say.", id, life.service, forMs)
-        self.advise([[id, int(forMs)]])
-        for member in self.registries():
-            if member.address != self.board.address:
-                self.board.cast(member.address, wire.ADVICE, [[id, int(forMs)]])
-        self.evidence = {other: row for other, row in self.evidence.items() if other in self.lives.byId}
-
-    def onAdvice(self, peer, body, reply):
-        """Another registry's proxies have told against endpoints."""
-        nowMs = self.context.nowMs()
-        for id, forMs in body:
-            evidence = self.evidence.setdefault(id, Evidence())
-            evidence.untilMs = max(evidence.untilMs, nowMs + forMs)
-            evidence.lastMs = nowMs
-            evidence.times += 1
-        self.advise(body)
-
-    def advise(self, rows):
-        for subscriber in self.subscribers.values():
-            self.board.cast(subscriber.address, wire.ADVICE, rows)
-
     def feedNow(self):
         self.feeding = False
         news, self.unfed = self.unfed, {}
--- a/stagevale/relaying/__init__.py
+++ b/stagevale/relaying/__init__.py
@@ -310,7 +310,6 @@
         self.release(job, target)
         nowMs = self.context.nowMs()
         target.failed(nowMs, self.context.settings.bounds.contactMs / 10.0, 0, False)
-        self.chooser.witness(target, nowMs)
         if job.answer is not None:
             self.unheard(job, UNKNOWN)
             return
@@ -387,14 +386,9 @@
                 self.counts.began(job.tenant.name, nowMs)
             self.chooser.learn(job.route, target, nowMs - job.sentMs, job.wasQueued)
             self.chooser.weigh(job.route, len(job.body) + len(answer.body))
-        elif status >= 500:
-            self.chooser.witness(target, nowMs)
-            if job.route.pure and self.again(job, target, nowMs):
-                return
-            if status == 503:
-                self.own(job, 502, "the endpoint failed")
-                return
-        elif status in (408, 429):
+        elif status >= 500 and job.route.pure and self.again(job, target, nowMs):
+            return
+        elif status in (408, 429, 503):
             self.own(job, 502, "the endpoint failed")
             return
         job.whole = True
