--- a/stagevale/affinity/holding.py
+++ b/stagevale/affinity/holding.py
@@ -293,7 +293,9 @@
             if hold is not None:
                 hold.record.join(record)
             known = record.jobs.get(note.key)
-            if known is not None and (known.state in (ANSWERED, UNKNOWN) or not self.atWork(known.by)):
+            if known is not None and known.state == FREE:
+                self.begin(job)
+            elif known is not None and (known.state in (ANSWERED, UNKNOWN) or not self.atWork(known.by)):
                 self.decide(job, Hold(note.name, 0, record), 0.0)
             elif nowMs + self.context.settings.bounds.contactMs * LOOK_SHARE + self.callMs() * 0.3 > job.cutoffMs:
                 self.conclude(job, None, None)
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -136,6 +136,25 @@
     assert day.answer(day.send(1, "k1")) == "200" and day.ran("k1") == 1
 
 
+def test_a_repeat_that_waits_for_another_site_runs_once_that_one_says_it_did_not():
+    day = Crossing(seed=10)
+    turned = []
+
+    def rule(endpoint, fields, body):
+        if len(turned) < 2:
+            turned.append(endpoint.id)
+            return b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 250
+        return None
+    day.rule = rule
+    first = day.send(0, "k1")
+    day.world.run(330)
+    across = day.send(1, "k1")
+    day.world.run(2500)
+    answers = [client.statuses()[:1] for client in (first, across)]
+    assert day.ran("k1") <= 1 and ["200"] in answers or answers == [["503"], ["503"]]
+    assert day.answer(day.send(2, "k1")) == "200" and day.ran("k1") == 1
+
+
 @pytest.mark.parametrize("head, field", [
     (b"Session-Id: \r\n", "session-id"), (b"Session-Id: a\r\nSession-Id: b\r\n", "session-id"),
     (b"Session-Id: " + b"s" * 300 + b"\r\n", "session-id"), (b"Session-Id: a\r\nIdempotency-Key: \r\n", "idempotency-key"),
