--- a/stagevale/membership/__init__.py
+++ b/stagevale/membership/__init__.py
@@ -1,5 +1,6 @@
 """Membership by gossip, after "Akka Cluster Specification": overview, state, suspicion, sorted leader."""
 import asyncio
+import json
 import struct
 
 from stagevale import wire
@@ -19,7 +20,7 @@
 
     __slots__ = ("context", "me", "state", "rows", "heartbeat", "suspicions", "unreachable", "observed", "transport",
                  "changeHooks", "contacts", "intervalMs", "timer", "placer", "epoch", "epochHook",
-                 "startedMs", "keys", "downSinceMs", "written")
+                 "startedMs", "keys", "downSinceMs", "written", "packed", "packedOf")
 
     def __init__(self, context, address, program, front=""):
         settings = context.settings
@@ -44,6 +45,8 @@
         self.startedMs = context.nowMs()
         self.keys = {self.me.key: self.me}
         self.downSinceMs = {}
+        self.packed = b""
+        self.packedOf = None
 
     def start(self):
         """Binds the gossip port and begins to gossip."""
@@ -337,7 +340,12 @@
                           told, seen, self.epoch])
 
     def packedState(self):
-        return wire.squeeze(wire.pack([0, self.state.message()]))
+        """The state for a message: JSON inside the flexbuffer, since many states go about while a fleet changes and the
+        library for flexbuffers is slow; packed once for each state."""
+        if self.packedOf is not self.state:
+            self.packedOf = self.state
+            self.packed = wire.squeeze(json.dumps(self.state.message(), separators=(",", ":")).encode())
+        return self.packed
 
     def sendTo(self, address, data):
         if self.transport is not None and len(data) <= DATAGRAM_BYTES:
@@ -352,7 +360,7 @@
             if kind == wire.OVERVIEW:
                 self.heardOverview(sender, message)
             elif kind == wire.STATE:
-                self.heardState(sender, fromMessage(wire.unpack(wire.unsqueeze(message[2]), "state", peer)[1]))
+                self.heardState(sender, fromMessage(json.loads(wire.unsqueeze(message[2]))))
             elif kind == wire.STATE_WANTED:
                 self.sendTo(sender, wire.pack([wire.STATE, self.me.address, self.packedState()]))
         except Exception as problem:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -219,3 +219,15 @@
         return fleet.world.crossed - before
     few, many = talk(9), talk(27)
     assert many < few * 1.8, (few, many)
+
+
+def test_a_state_is_packed_once_and_cheaply_for_all_who_get_it():
+    """A day on which every proxy was restarted in turn was given up for processor time: states were packed and read anew
+    for each message, by a slow library."""
+    fleet = Fleet(4, 3)
+    assert fleet.world.until(lambda: fleet.formed(15), 20000)
+    membership = fleet.registries[0].membership
+    assert membership.packedState() is membership.packedState()
+    before = membership.packedState()
+    membership.make(membership.state.changed(membership.me.address))
+    assert membership.packedState() is not before
