Tidying: one place looks whether a job may still be offered, one settles session groups; a clumsy choice of rows goes

Behaviour stays as it is; the tests of the job path, tenants, partners, the register and parts of those of sessions pass. Left: duties' own watch beside the register's tick, and the choice of a target written for endpoints and groups alike.

--- a/stagevale/affinity/keeping.py
+++ b/stagevale/affinity/keeping.py
@@ -80,10 +80,9 @@
                     done()
             if not self.saving:
                 self.saveNext()
-        rows = [row for row, _ in batch]
-        whole = self.everything if self.log.wantsWhole() else None
-        rows = whole() if whole else rows
-        self.context.disk(lambda: self.log.append(rows, whole is not None), saved)
+        whole = self.log.wantsWhole()
+        rows = self.everything() if whole else [row for row, _ in batch]
+        self.context.disk(lambda: self.log.append(rows, whole), saved)
 
     def everything(self):
         nowMs = self.context.nowMs()
--- a/stagevale/configuration/__init__.py
+++ b/stagevale/configuration/__init__.py
@@ -480,9 +480,7 @@
             if len(ready) < majority(len(group)) or self.busy or self.ballot is None or value is None:
                 return
             self.settledNames.add((name, epoch))
-            after = {key: (row[0], row[1], () if (key, row[0]) in self.settledNames else row[2])
-                     for key, row in value.sessions.items()}
-            if after != value.sessions and not self.settlePlanned:
+            if not self.settlePlanned:
                 self.settlePlanned = True
                 self.context.after(self.callMs / 4.0, self.settleAll)
         for peer in group:
--- a/stagevale/relaying/__init__.py
+++ b/stagevale/relaying/__init__.py
@@ -197,7 +197,7 @@
     def offer(self, job):
         """Sends a job to the best endpoint, has it wait for one, or sheds it while shedding still is early."""
         nowMs = self.context.nowMs()
-        if (job.checkedFor != self.digest.serial or job.route.partner is not None) and not self.mayOffer(job):
+        if not self.mayOffer(job):
             return
         target = self.chooser.choose(job, self.digest, nowMs)
         if target is not None and nowMs + job.expectedMs * 0.5 > job.cutoffMs and not job.offered:
--- a/stagevale/relaying/endpoint.py
+++ b/stagevale/relaying/endpoint.py
@@ -104,7 +104,7 @@
             self.close()
             self.relay.broken(job, self.target, f"can't be sent: {problem}", False)
             return
-        if (job.checkedFor != self.relay.digest.serial or job.route.partner is not None) and not self.relay.mayOffer(job):
+        if not self.relay.mayOffer(job):
             self.job = None
             self.close()
             self.relay.unoffered(job, self.target)
