--- a/stagevale/__main__.py
+++ b/stagevale/__main__.py
@@ -1,9 +1,13 @@
-"""The command line. The three daemons start without the command line's library, which costs time and memory."""
+"""The command line. The three daemons start without the command line's library, which costs time
+and memory.
+"""
+
 import sys
 
 
 def daemon(name):
     from stagevale.programs import run
+
     if name == "proxy":
         from stagevale.programs.proxy import Proxy as Program
     elif name == "registry":
@@ -18,6 +22,7 @@
     if len(words) == 1 and words[0] in ("proxy", "registry", "store"):
         return daemon(words[0])
     from stagevale.commands import app
+
     return app(words)
 
 
--- a/stagevale/affinity/__init__.py
+++ b/stagevale/affinity/__init__.py
@@ -1,4 +1,7 @@
-"""Sessions: records that follow a session between edge sites, kept by placed groups of registries."""
+"""Sessions: records that follow a session between edge sites, kept by placed groups of
+registries.
+"""
+
 import hashlib
 import zlib
 
@@ -30,15 +33,19 @@
 
 
 def fingerprint_of(method, target, body):
-    """What a key stands for: the same key with another fingerprint is another request under a used name."""
+    """What a key stands for: the same key with another fingerprint is another request under a used
+    name.
+    """
     return hashlib.sha256(method + b"\n" + target + b"\n" + body).hexdigest()[:24]
 
 
 class Entry:
-    """One at-most-once request under its key. A later turn goes over an earlier one, a later state within a turn too.
+    """One at-most-once request under its key. A later turn goes over an earlier one, a later state
+    within a turn too.
 
-    A turn is the version under which the request was noted (number, holder) and a count: who notes anew has seen a majority's
-    records, so an earlier turn that it didn't see was never noted by one and can't be any more.
+    A turn is the version under which the request was noted (number, holder) and a count: who notes
+    anew has seen a majority's records, so an earlier turn that it didn't see was never noted by one
+    and can't be any more.
     """
 
     __slots__ = ("turn", "state", "fingerprint", "by", "answer", "expires_ms")
@@ -55,16 +62,27 @@
         return self.turn, self.state
 
     def fields(self, now_ms):
-        return [list(self.turn), self.state, self.fingerprint, self.by, self.answer, int(self.expires_ms - now_ms)]
+        return [
+            list(self.turn),
+            self.state,
+            self.fingerprint,
+            self.by,
+            self.answer,
+            int(self.expires_ms - now_ms),
+        ]
 
 
 def entry_from(fields, now_ms):
     turn, state, fingerprint, by, answer, left_ms = fields
-    return Entry((int(turn[0]), turn[1], int(turn[2])), int(state), fingerprint, by, answer, now_ms + left_ms)
+    return Entry(
+        (int(turn[0]), turn[1], int(turn[2])), int(state), fingerprint, by, answer, now_ms + left_ms
+    )
 
 
 class Record:
-    """A session: its version (number and holder), the endpoint it keeps to per service, its requests by key."""
+    """A session: its version (number and holder), the endpoint it keeps to per service, its
+    requests by key.
+    """
 
     __slots__ = ("number", "holder", "pins", "requests")
 
@@ -78,8 +96,16 @@
         return self.number, self.holder
 
     def fields(self, now_ms):
-        return [self.number, self.holder, self.pins, {key: entry.fields(now_ms) for key, entry in self.requests.items()
-                                                      if entry.expires_ms > now_ms}]
+        return [
+            self.number,
+            self.holder,
+            self.pins,
+            {
+                key: entry.fields(now_ms)
+                for key, entry in self.requests.items()
+                if entry.expires_ms > now_ms
+            },
+        ]
 
     def join(self, other):
         """Takes in what another copy of the record knows."""
@@ -96,14 +122,20 @@
 
 def record_from(fields, now_ms):
     number, holder, pins, requests = fields
-    return Record(int(number), holder, dict(pins), {key: entry_from(row, now_ms) for key, row in requests.items()})
+    return Record(
+        int(number),
+        holder,
+        dict(pins),
+        {key: entry_from(row, now_ms) for key, row in requests.items()},
+    )
 
 
 def tend(sessions, wanted, registries, gone):
-    """The register's next word on the groups, or None: makes those that are wanted, replaces members gone for good.
+    """The register's next word on the groups, or None: makes those that are wanted, replaces
+    members gone for good.
 
-    `sessions` is name to (version, members, before); `registries` are those that live; `gone` are addresses. A group in
-    the middle of a change is left alone until that is settled.
+    `sessions` is name to (version, members, before); `registries` are those that live; `gone` are
+    addresses. A group in the middle of a change is left alone until that is settled.
     """
     after = dict(sessions)
     for name in wanted:
@@ -125,14 +157,19 @@
 def choose_members(name, registries, kept):
     """Members for a group: those kept, then by hash, a region without one first."""
     homes = homes_of(name)
-    able = sorted((r for r in registries if not homes or r.region in homes),
-                  key=lambda r: -zlib.crc32(f"{name} {r.address}".encode()))
+    able = sorted(
+        (r for r in registries if not homes or r.region in homes),
+        key=lambda r: -zlib.crc32(f"{name} {r.address}".encode()),
+    )
     region_of = {r.address: r.region for r in registries}
     members = list(kept)
     for fresh in (True, False):
         for registry in able:
             taken = {region_of.get(address) for address in members}
-            if len(members) < GROUP_SIZE and registry.address not in members \
-                    and (not fresh or registry.region not in taken):
+            if (
+                len(members) < GROUP_SIZE
+                and registry.address not in members
+                and (not fresh or registry.region not in taken)
+            ):
                 members.append(registry.address)
     return tuple(members)
--- a/stagevale/affinity/keeping.py
+++ b/stagevale/affinity/keeping.py
@@ -1,4 +1,7 @@
-"""A registry's part in the sessions: it keeps the records of the groups it is in, on disk before it answers."""
+"""A registry's part in the sessions: it keeps the records of the groups it is in, on disk before it
+answers.
+"""
+
 from stagevale import wire
 from stagevale.affinity import FRESH, NOTED, UNKNOWN, Entry, Record, entry_from, record_from
 from stagevale.ballots import majority
@@ -22,9 +25,21 @@
 
 
 class SessionKeeper:
-    """Takes, notes and marks for proxies; learns before it answers, and hands over what a newcomer should have."""
-
-    __slots__ = ("context", "board", "log", "groups", "loaded", "latest", "unsaved", "saving", "counts")
+    """Takes, notes and marks for proxies; learns before it answers, and hands over what a newcomer
+    should have.
+    """
+
+    __slots__ = (
+        "context",
+        "board",
+        "log",
+        "groups",
+        "loaded",
+        "latest",
+        "unsaved",
+        "saving",
+        "counts",
+    )
 
     def __init__(self, context, board, log):
         self.context = context
@@ -36,9 +51,14 @@
         self.unsaved = []
         self.saving = False
         self.counts = {"taken": 0, "handedOver": 0, "noted": 0}
-        for kind, handler in ((wire.SESSION_TAKE, self.on_take), (wire.SESSION_NOTE, self.on_note),
-                              (wire.SESSION_MARK, self.on_mark), (wire.SESSION_LOOK, self.on_look),
-                              (wire.SESSION_LEARN, self.on_learn), (wire.SESSION_READY, self.on_ready)):
+        for kind, handler in (
+            (wire.SESSION_TAKE, self.on_take),
+            (wire.SESSION_NOTE, self.on_note),
+            (wire.SESSION_MARK, self.on_mark),
+            (wire.SESSION_LOOK, self.on_look),
+            (wire.SESSION_LEARN, self.on_learn),
+            (wire.SESSION_READY, self.on_ready),
+        ):
             board.on(kind, handler)
         context.disk(log.load, self.on_loaded)
 
@@ -53,7 +73,9 @@
                 group = self.groups.setdefault(row[1], Group())
                 group.learned_version, group.sealed = row[2], row[3]
             else:
-                self.groups.setdefault(row[1], Group()).records[row[2]] = record_from(row[3], now_ms)
+                self.groups.setdefault(row[1], Group()).records[row[2]] = record_from(
+                    row[3], now_ms
+                )
         self.loaded = True
         self.configure(self.latest)
 
@@ -80,6 +102,7 @@
                     done()
             if not self.saving:
                 self.save_next()
+
         whole = self.log.wants_whole()
         rows = self.everything() if whole else [row for row, _ in batch]
         self.context.disk(lambda: self.log.append(rows, whole), saved)
@@ -89,7 +112,10 @@
         rows = []
         for name, group in self.groups.items():
             rows.append(["group", name, group.learned_version, group.sealed])
-            rows += [["record", name, session, record.fields(now_ms)] for session, record in group.records.items()]
+            rows += [
+                ["record", name, session, record.fields(now_ms)]
+                for session, record in group.records.items()
+            ]
         return rows
 
     # groups
@@ -110,9 +136,15 @@
                 group.records = {}
 
     def learn(self, name):
-        """Brings a group's records here: from a majority of the members before, who seal, or of those that are."""
+        """Brings a group's records here: from a majority of the members before, who seal, or of
+        those that are.
+        """
         group = self.groups[name]
-        if group.learning or group.learned_version >= group.version or self.board.address not in group.members:
+        if (
+            group.learning
+            or group.learned_version >= group.version
+            or self.board.address not in group.members
+        ):
             return
         version = group.version
         if group.before == (FRESH,):
@@ -136,11 +168,19 @@
                 self.learnt(name, version, got)
             elif not waiting and group.learning:
                 group.learning = False
-                self.context.after(self.context.settings.bounds.contact_ms * RETRY_SHARE / 2, self.learn, name)
+                self.context.after(
+                    self.context.settings.bounds.contact_ms * RETRY_SHARE / 2, self.learn, name
+                )
+
         deadline_ms = self.context.settings.bounds.contact_ms * RETRY_SHARE
         for peer in list(waiting):
-            self.board.call(peer, wire.SESSION_LEARN, [name, version], deadline_ms,
-                            lambda answer, failure, peer=peer: answered(peer, answer, failure))
+            self.board.call(
+                peer,
+                wire.SESSION_LEARN,
+                [name, version],
+                deadline_ms,
+                lambda answer, failure, peer=peer: answered(peer, answer, failure),
+            )
         if not waiting:
             answered("", None, "nobody to ask")
 
@@ -156,12 +196,19 @@
         def saved():
             if group.version == version:
                 group.learned_version = version
-                self.context.log.info("sessions: group %s, version %d, is learned with %d records.", name, version,
-                                      len(group.records))
+                self.context.log.info(
+                    "sessions: group %s, version %d, is learned with %d records.",
+                    name,
+                    version,
+                    len(group.records),
+                )
+
         self.save(["group", name, version, group.sealed], saved)
 
     def on_learn(self, peer, body, reply):
-        """A member of a later group asks: what was noted here is handed over, and nothing more is noted before."""
+        """A member of a later group asks: what was noted here is handed over, and nothing more is
+        noted before.
+        """
         name, version = body
         group = self.groups.get(name)
         if group is None or not self.loaded:
@@ -170,7 +217,13 @@
         now_ms = self.context.now_ms()
 
         def answer():
-            reply([group.learned_version, {session: record.fields(now_ms) for session, record in group.records.items()}])
+            reply(
+                [
+                    group.learned_version,
+                    {session: record.fields(now_ms) for session, record in group.records.items()},
+                ]
+            )
+
         if version > group.version and version > group.sealed:
             group.sealed = version
             self.save(["group", name, group.learned_version, version], answer)
@@ -185,8 +238,14 @@
     def able(self, name, version):
         """The group, where this registry may speak for it under this version."""
         group = self.groups.get(name)
-        if (group is None or group.version != version or group.learned_version != version or group.sealed > version
-                or self.board.address not in group.members or group.before == (FRESH,)):
+        if (
+            group is None
+            or group.version != version
+            or group.learned_version != version
+            or group.sealed > version
+            or self.board.address not in group.members
+            or group.before == (FRESH,)
+        ):
             return None
         return group
 
@@ -197,7 +256,9 @@
         return record
 
     def kept(self, name, session, record, reply, answer):
-        self.save(["record", name, session, record.fields(self.context.now_ms())], lambda: reply(answer))
+        self.save(
+            ["record", name, session, record.fields(self.context.now_ms())], lambda: reply(answer)
+        )
 
     # sessions
 
@@ -266,17 +327,32 @@
         name, version, session = body
         group = self.able(name, version)
         record = group.records.get(session) if group is not None else None
-        reply([0 if group is None else 1, record.fields(self.context.now_ms()) if record is not None else None])
+        reply(
+            [
+                0 if group is None else 1,
+                record.fields(self.context.now_ms()) if record is not None else None,
+            ]
+        )
 
     def stand(self):
         """Counts for the tools; no names of sessions."""
-        requests = [entry for group in self.groups.values() for record in group.records.values()
-                for entry in record.requests.values()]
-        return {**self.counts, "held": sum(len(group.records) for group in self.groups.values()),
-                "unknown": sum(1 for entry in requests if entry.state == UNKNOWN),
-                "groups": {name: {"version": group.version, "members": list(group.members),
-                                  "learned": group.learned_version >= group.version}
-                           for name, group in self.groups.items() if self.board.address in group.members}}
-
-
-
+        requests = [
+            entry
+            for group in self.groups.values()
+            for record in group.records.values()
+            for entry in record.requests.values()
+        ]
+        return {
+            **self.counts,
+            "held": sum(len(group.records) for group in self.groups.values()),
+            "unknown": sum(1 for entry in requests if entry.state == UNKNOWN),
+            "groups": {
+                name: {
+                    "version": group.version,
+                    "members": list(group.members),
+                    "learned": group.learned_version >= group.version,
+                }
+                for name, group in self.groups.items()
+                if self.board.address in group.members
+            },
+        }
--- a/stagevale/affinity/log.py
+++ b/stagevale/affinity/log.py
@@ -1,4 +1,7 @@
-"""Where a registry keeps session records on disk: batches of rows, each a dbm.dumb table that is synced before it counts."""
+"""Where a registry keeps session records on disk: batches of rows, each a dbm.dumb table that is
+synced before it counts.
+"""
+
 import re
 
 from stagevale import wire
@@ -9,7 +12,9 @@
 
 
 class SessionLog:
-    """Appends batches; after some it is written whole again. Every call belongs on the disk thread."""
+    """Appends batches; after some it is written whole again. Every call belongs on the disk
+    thread.
+    """
 
     __slots__ = ("folder", "number", "oldest")
 
@@ -20,7 +25,9 @@
 
     def load(self):
         """All rows of whole batches, oldest first."""
-        numbers = sorted(int(match.group(1)) for match in map(NAME.match, self.folder.names()) if match)
+        numbers = sorted(
+            int(match.group(1)) for match in map(NAME.match, self.folder.names()) if match
+        )
         rows = []
         for number in numbers:
             batch = self.read(number)
@@ -46,7 +53,12 @@
         """Writes a batch, syncs it, and drops what a whole one replaces."""
         number = self.number + 1
         self.number = number
-        write_table(self.folder, f"batch-{number}", b"rows", wire.squeeze(wire.pack([0, 1 if whole else 0, rows])))
+        write_table(
+            self.folder,
+            f"batch-{number}",
+            b"rows",
+            wire.squeeze(wire.pack([0, 1 if whole else 0, rows])),
+        )
         if whole:
             for old in range(self.oldest, number):
                 for ending in (".dir", ".dat", ".bak"):
--- a/stagevale/balancing/__init__.py
+++ b/stagevale/balancing/__init__.py
@@ -1,4 +1,5 @@
 """Balancing: which endpoint a request goes to, and whether it may go to any."""
+
 import heapq
 import zlib
 
@@ -20,12 +21,39 @@
 
 
 class Target:
-    """One life of an endpoint as this proxy uses it: what is told of it and what was learned by use."""
+    """One life of an endpoint as this proxy uses it: what is told of it and what was learned by
+    use.
+    """
 
-    __slots__ = ("id", "service", "address", "zone", "region", "slots", "state", "healthy", "cold_seq", "cold_until_ms",
-                 "outstanding", "idle", "open", "speed", "others", "others_ms", "usual_others", "times_told",
-                 "eject_until_ms", "failures", "cold_sent", "gone", "silent_since_ms", "answered_ms", "agreed_of", "agreed",
-                 "software")
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "zone",
+        "region",
+        "slots",
+        "state",
+        "healthy",
+        "cold_seq",
+        "cold_until_ms",
+        "outstanding",
+        "idle",
+        "open",
+        "speed",
+        "others",
+        "others_ms",
+        "usual_others",
+        "times_told",
+        "eject_until_ms",
+        "failures",
+        "cold_sent",
+        "gone",
+        "silent_since_ms",
+        "answered_ms",
+        "agreed_of",
+        "agreed",
+        "software",
+    )
 
     def __init__(self, id, service, address, zone, region, slots, software=""):
         self.id = id
@@ -72,9 +100,11 @@
         return now_ms - self.silent_since_ms if self.outstanding > 0 else 0.0
 
     def load(self, now_ms):
-        """Requests thought to be at the endpoint now: this proxy's and what others had there, which fades to what they
-        usually have there, since a proxy of a large fleet hears of an endpoint only every few seconds; and that, more
-        slowly, to none, so that one that was busy is tried again."""
+        """Requests thought to be at the endpoint now: this proxy's and what others had there, which
+        fades to what they usually have there, since a proxy of a large fleet hears of an endpoint
+        only every few seconds; and that, more slowly, to none, so that one that was busy is tried
+        again.
+        """
         age_ms = now_ms - self.others_ms
         fresh = max(0.0, 1.0 - age_ms / OTHERS_MS)
         usual = self.usual_others * max(0.0, 1.0 - age_ms / (OTHERS_MS * USUAL_FADES))
@@ -85,10 +115,14 @@
         self.others = max(0.0, running + waiting - self.outstanding)
         self.others_ms = now_ms
         self.times_told += 1
-        self.usual_others += max(USUAL_WEIGHT, 1.0 / (self.times_told + 1)) * (self.others - self.usual_others)
+        self.usual_others += max(USUAL_WEIGHT, 1.0 / (self.times_told + 1)) * (
+            self.others - self.usual_others
+        )
 
     def failed(self, now_ms, base_ms, warmup_ms, outage):
-        """Notes passive evidence against the endpoint: it rests for a while, and may come back cold."""
+        """Notes passive evidence against the endpoint: it rests for a while, and may come back
+        cold.
+        """
         self.failures += 1
         if outage or self.failures >= 3:
             self.eject_until_ms = now_ms + base_ms * min(8, 2 ** max(0, self.failures - 1))
@@ -102,8 +136,18 @@
 class Chooser:
     """Chooses among allowed endpoints by expected time, nearness and own outstanding requests."""
 
-    __slots__ = ("context", "work", "address", "rtt_ms", "bytes", "mean_bytes", "service_work", "policy", "lease",
-                 "steering")
+    __slots__ = (
+        "context",
+        "work",
+        "address",
+        "rtt_ms",
+        "bytes",
+        "mean_bytes",
+        "service_work",
+        "policy",
+        "lease",
+        "steering",
+    )
 
     def __init__(self, context, address):
         self.context = context
@@ -128,7 +172,9 @@
         self.mean_bytes += 0.01 * (size - self.mean_bytes)
 
     def bulk(self, route):
-        """How dear it is to carry a request of this route far: its bytes against the mean, within bounds."""
+        """How dear it is to carry a request of this route far: its bytes against the mean, within
+        bounds.
+        """
         return min(3.0, max(0.3, self.bytes.get(route.name, self.mean_bytes) / self.mean_bytes))
 
     def learn(self, route, target, took_ms, was_queued):
@@ -141,7 +187,9 @@
             return
         mixed = self.service_work.get(target.service)
         plain_ms = took_ms / target.speed
-        self.service_work[target.service] = plain_ms if mixed is None else mixed + 0.03 * (plain_ms - mixed)
+        self.service_work[target.service] = (
+            plain_ms if mixed is None else mixed + 0.03 * (plain_ms - mixed)
+        )
         ratio = min(8.0, max(0.15, took_ms / work))
         target.speed += 0.15 * (ratio - target.speed)
         self.work[route.name] = work + 0.05 * (took_ms / target.speed - work)
@@ -158,7 +206,9 @@
         return self.rtt_ms.get(target.region, 0.0) / 2.0
 
     def may_use_cold(self, target, snapshot, service, now_ms):
-        """While an endpoint is cold only few, agreed proxies use it, each with its share of what it bears."""
+        """While an endpoint is cold only few, agreed proxies use it, each with its share of what it
+        bears.
+        """
         if not self.agreed(target, snapshot):
             return False
         target.cold_sent = [sent_ms for sent_ms in target.cold_sent if now_ms - sent_ms < 1100.0]
@@ -168,55 +218,97 @@
         return len(target.cold_sent) < share
 
     def agreed(self, target, snapshot):
-        """True where this proxy is among the few that use the endpoint while it is cold; looked up once for each set of
-        proxies, since a large fleet would be sorted for each cold endpoint at each request."""
+        """True where this proxy is among the few that use the endpoint while it is cold; looked up
+        once for each set of proxies, since a large fleet would be sorted for each cold endpoint at
+        each request.
+        """
         if target.agreed_of is not snapshot.proxies:
             target.agreed_of = snapshot.proxies
-            ranked = heapq.nsmallest(COLD_PROXIES, snapshot.proxies, key=lambda proxy: (
-                proxy[1] != target.zone, proxy[2] != target.region, zlib.crc32(f"{target.id} {proxy[0]}".encode())))
+            ranked = heapq.nsmallest(
+                COLD_PROXIES,
+                snapshot.proxies,
+                key=lambda proxy: (
+                    proxy[1] != target.zone,
+                    proxy[2] != target.region,
+                    zlib.crc32(f"{target.id} {proxy[0]}".encode()),
+                ),
+            )
             target.agreed = any(proxy[0] == self.address for proxy in ranked)
         return target.agreed
 
     def choose(self, request, snapshot, now_ms):
-        """The target for a request, or None; sets how long the best would take in `request.expected_ms`. Under a rollout a request of
-        the new side that finds none there, or that is tried again while the new version is on trial, goes to the stable one."""
+        """The target for a request, or None; sets how long the best would take in
+        `request.expected_ms`. Under a rollout a request of the new side that finds none there, or
+        that is tried again while the new version is on trial, goes to the stable one.
+        """
         rollout = snapshot.rollouts.get(request.service) if snapshot.rollouts else None
         targets = snapshot.targets.get(request.service, ())
         if rollout is None:
             return self.choose_steered(targets, request, snapshot, now_ms)
-        sides = [NEW, STABLE] if self.lease.holds(now_ms) and rollout.side(request.split_key()) else [STABLE]
+        sides = (
+            [NEW, STABLE]
+            if self.lease.holds(now_ms) and rollout.side(request.split_key())
+            else [STABLE]
+        )
         if request.tried and rollout.state in (SHIFTING, PAUSED):
             sides.reverse()
         for side in sides:
-            target = self.choose_steered([t for t in targets if rollout.allows(side, t.software)], request, snapshot, now_ms)
+            target = self.choose_steered(
+                [t for t in targets if rollout.allows(side, t.software)], request, snapshot, now_ms
+            )
             if target is not None:
                 return target
         return None
 
     def choose_steered(self, targets, request, snapshot, now_ms):
-        """Where steering is on, the best target of the region that the request is steered to, if it has a free slot; else
-        the best of all."""
+        """Where steering is on, the best target of the region that the request is steered to, if it
+        has a free slot; else the best of all.
+        """
         if self.steering is None:
             return self.choose_among(targets, request, snapshot, now_ms)
         region = self.steered_to(request, targets, snapshot, now_ms)
-        target = self.choose_among([t for t in targets if t.region == region], request, snapshot, now_ms, region)
+        target = self.choose_among(
+            [t for t in targets if t.region == region], request, snapshot, now_ms, region
+        )
         if target is not None and target.load(now_ms) < target.slots:
             return target
         return self.choose_among(targets, request, snapshot, now_ms, region)
 
     def may_use(self, target, snapshot, now_ms):
-        """Looks again, at the moment of writing, whether a rollout lets this endpoint take anything."""
+        """Looks again, at the moment of writing, whether a rollout lets this endpoint take
+        anything.
+        """
         rollout = snapshot.rollouts.get(target.service) if snapshot.rollouts else None
-        return (rollout is None or rollout.allows(0, target.software)
-                or rollout.allows(1, target.software) and self.lease.holds(now_ms))
+        return (
+            rollout is None
+            or rollout.allows(0, target.software)
+            or rollout.allows(1, target.software)
+            and self.lease.holds(now_ms)
+        )
 
     def steered_to(self, request, targets, snapshot, now_ms):
-        """The region that this request is steered to, among those in which it may be served at all."""
-        regions = {target.region for target in targets
-                   if target.state == READY and not target.gone and target.healthy and target.zone not in snapshot.evacuated
-                   and not any(target.region not in homes for homes in request.homes)}
-        return self.steering.choose(request.service, regions, self.work_ms(request.route), request.route.target_ms, self.bulk(request.route),
-                                    request.route.pure, now_ms, self.context.settings.bounds.contact_ms / 80.0)
+        """The region that this request is steered to, among those in which it may be served at
+        all.
+        """
+        regions = {
+            target.region
+            for target in targets
+            if target.state == READY
+            and not target.gone
+            and target.healthy
+            and target.zone not in snapshot.evacuated
+            and not any(target.region not in homes for homes in request.homes)
+        }
+        return self.steering.choose(
+            request.service,
+            regions,
+            self.work_ms(request.route),
+            request.route.target_ms,
+            self.bulk(request.route),
+            request.route.pure,
+            now_ms,
+            self.context.settings.bounds.contact_ms / 80.0,
+        )
 
     def choose_among(self, targets, request, snapshot, now_ms, steered=None):
         """The target with the least cost among these, or None."""
@@ -233,16 +325,24 @@
         request.expected_ms = None
         share = max(2, service.max_conns // (len(snapshot.proxies) + 2))
         for target in targets:
-            if (target.state != READY or target.gone or not target.healthy or target.zone in snapshot.evacuated
-                    or target.id in request.tried or any(target.region not in homes for homes in request.homes)
-                    or now_ms < target.eject_until_ms):
+            if (
+                target.state != READY
+                or target.gone
+                or not target.healthy
+                or target.zone in snapshot.evacuated
+                or target.id in request.tried
+                or any(target.region not in homes for homes in request.homes)
+                or now_ms < target.eject_until_ms
+            ):
                 continue
             load = target.load(now_ms)
             if target.outstanding >= target.slots * QUEUE_FACTOR or load >= target.slots * 3:
                 continue
             if not target.idle and target.open >= share:
                 continue
-            if now_ms < target.cold_until_ms and not self.may_use_cold(target, snapshot, service, now_ms):
+            if now_ms < target.cold_until_ms and not self.may_use_cold(
+                target, snapshot, service, now_ms
+            ):
                 continue
             ahead = max(0.0, load + 1 - target.slots) / target.slots
             speed = target.speed
@@ -255,15 +355,20 @@
             if target.region != settings.region:
                 rtt = self.rtt_ms.get(target.region, settings.bounds.contact_ms / 80.0)
                 took_ms += rtt if target.idle else 2 * rtt
-                cost = took_ms + (route.target_ms * REGION_COST * bulk if steered is None
-                                 else self.steering.price_ms(target.region, route.target_ms, bulk))
+                cost = took_ms + (
+                    route.target_ms * REGION_COST * bulk
+                    if steered is None
+                    else self.steering.price_ms(target.region, route.target_ms, bulk)
+                )
             elif target.zone != settings.zone:
                 cost = took_ms + route.target_ms * ZONE_COST * bulk
             if steered is not None and target.region != steered:
                 cost += route.target_ms * REGION_COST
             if target.id == request.prefers:
                 cost *= KEEP_COST
-            cost += SILENCE_COST * max(0.0, target.silent_ms(now_ms) - SILENCE_EXPECTED * mixed * target.speed)
+            cost += SILENCE_COST * max(
+                0.0, target.silent_ms(now_ms) - SILENCE_EXPECTED * mixed * target.speed
+            )
             cost += max(0.0, took_ms * LATE_MARGIN - left_ms) * LATE_COST
             if self.policy is not None:
                 cost = self.policy.cost(request, target, cost, load)
--- a/stagevale/balancing/budget.py
+++ b/stagevale/balancing/budget.py
@@ -6,7 +6,9 @@
 
 
 class Budget:
-    """Requests and further tries of one service in the sliding window, as this proxy has seen them."""
+    """Requests and further tries of one service in the sliding window, as this proxy has seen
+    them.
+    """
 
     __slots__ = ("ratio", "extra", "bucket_ms", "window_ms", "born_ms", "requests", "spent")
 
@@ -28,13 +30,19 @@
                 del self.requests[old]
 
     def allows(self, now_ms, proxies):
-        """True where one more arrival fits this proxy's share; `proxies` is how many share the budget."""
+        """True where one more arrival fits this proxy's share; `proxies` is how many share the
+        budget.
+        """
         bucket = int(now_ms / self.bucket_ms)
         for old in [kept for kept in self.spent if kept < bucket - BUCKETS - 1]:
             del self.spent[old]
-        requests = sum(count for kept, count in self.requests.items() if kept >= bucket - BUCKETS + 1)
+        requests = sum(
+            count for kept, count in self.requests.items() if kept >= bucket - BUCKETS + 1
+        )
         grown = min(1.0, (now_ms - self.born_ms) / self.window_ms)
-        share = self.ratio * RATIO_SHARE * requests + self.extra * EXTRA_SHARE * grown / max(1, proxies + 1)
+        share = self.ratio * RATIO_SHARE * requests + self.extra * EXTRA_SHARE * grown / max(
+            1, proxies + 1
+        )
         return sum(self.spent.values()) + 1 <= share
 
     def spend(self, now_ms):
--- a/stagevale/balancing/policies.py
+++ b/stagevale/balancing/policies.py
@@ -1,4 +1,7 @@
-"""Policies: a small Lua function that may change the cost by which an allowed endpoint is chosen. Off by default."""
+"""Policies: a small Lua function that may change the cost by which an allowed endpoint is chosen.
+Off by default.
+"""
+
 from lupa import lua54
 
 MEMORY_BYTES = 2 * 1024 * 1024
@@ -43,7 +46,9 @@
         self.log = log
         self.failures = 0
         try:
-            self.lua = lua54.LuaRuntime(max_memory=MEMORY_BYTES, register_eval=False, register_builtins=False)
+            self.lua = lua54.LuaRuntime(
+                max_memory=MEMORY_BYTES, register_eval=False, register_builtins=False
+            )
             self.call = self.lua.execute(GUARD)(source, STEPS)
         except (lua54.LuaError, MemoryError) as failure:
             raise PolicyFailure(first_line(failure)) from None
@@ -53,17 +58,34 @@
         if self.failures >= FAILURES_BORNE:
             return cost
         try:
-            own = self.call(self.lua.table(route=request.route.name, service=request.service, pure=request.route.pure,
-                                           priority=request.route.priority, target_ms=request.route.target_ms),
-                            self.lua.table(id=target.id, zone=target.zone, region=target.region, slots=target.slots,
-                                           load=load, speed=target.speed, cost=cost))
+            own = self.call(
+                self.lua.table(
+                    route=request.route.name,
+                    service=request.service,
+                    pure=request.route.pure,
+                    priority=request.route.priority,
+                    target_ms=request.route.target_ms,
+                ),
+                self.lua.table(
+                    id=target.id,
+                    zone=target.zone,
+                    region=target.region,
+                    slots=target.slots,
+                    load=load,
+                    speed=target.speed,
+                    cost=cost,
+                ),
+            )
             if isinstance(own, bool) or not isinstance(own, (int, float)) or not 0 <= own < 1e12:
                 raise PolicyFailure(f"want a cost from 0, got {own!r}")
             return float(own)
         except (lua54.LuaError, MemoryError, PolicyFailure) as failure:
             self.failures += 1
-            self.log.warning("policy: %s%s.", first_line(failure),
-                             "; it is left out from now on" if self.failures >= FAILURES_BORNE else "")
+            self.log.warning(
+                "policy: %s%s.",
+                first_line(failure),
+                "; it is left out from now on" if self.failures >= FAILURES_BORNE else "",
+            )
             return cost
 
 
--- a/stagevale/balancing/snapshot.py
+++ b/stagevale/balancing/snapshot.py
@@ -1,4 +1,5 @@
 """The proxy's snapshot: routes, services, evacuations and members at one moment, swapped whole."""
+
 import json
 
 from stagevale.partners import NO_TABLE, merged_table
@@ -21,8 +22,21 @@
 class Route:
     """One route of the configuration."""
 
-    __slots__ = ("name", "pure", "timeout_ms", "target_ms", "priority", "max_attempts", "homes", "shares", "total",
-                 "public", "cacheable", "partner", "affinity")
+    __slots__ = (
+        "name",
+        "pure",
+        "timeout_ms",
+        "target_ms",
+        "priority",
+        "max_attempts",
+        "homes",
+        "shares",
+        "total",
+        "public",
+        "cacheable",
+        "partner",
+        "affinity",
+    )
 
     def __init__(self, row):
         self.name = row.get("name", "")
@@ -37,7 +51,9 @@
         self.partner = None
         self.affinity = Affinity(row["affinity"]) if row.get("affinity") else None
         parts = row.get("weighted") or [{"service": row["service"], "weight": 1}]
-        self.shares = tuple((part["service"], float(part["weight"])) for part in parts if part["weight"] > 0)
+        self.shares = tuple(
+            (part["service"], float(part["weight"])) for part in parts if part["weight"] > 0
+        )
         self.total = sum(weight for _, weight in self.shares)
 
     def service(self, random):
@@ -79,11 +95,34 @@
 class Snapshot:
     """Immutable: a change makes another one."""
 
-    __slots__ = ("serial", "hosts", "services", "limits", "evacuated", "targets", "proxies", "keys", "partners", "sessions",
-                 "rollouts")
-
-    def __init__(self, serial, hosts, services, limits, evacuated, targets, proxies, keys=None,
-                 partners=NO_TABLE, sessions=None, rollouts=None):
+    __slots__ = (
+        "serial",
+        "hosts",
+        "services",
+        "limits",
+        "evacuated",
+        "targets",
+        "proxies",
+        "keys",
+        "partners",
+        "sessions",
+        "rollouts",
+    )
+
+    def __init__(
+        self,
+        serial,
+        hosts,
+        services,
+        limits,
+        evacuated,
+        targets,
+        proxies,
+        keys=None,
+        partners=NO_TABLE,
+        sessions=None,
+        rollouts=None,
+    ):
         self.serial = serial
         self.hosts = hosts
         self.services = services
@@ -129,9 +168,12 @@
         rollouts = None
         if value.rollouts:
             from stagevale.rollouts import read_rollouts
+
             rollouts = read_rollouts(value.rollouts)
         if not value.config:
-            return self.with_(serial=value.serial, evacuated=frozenset(value.evacuated), rollouts=rollouts)
+            return self.with_(
+                serial=value.serial, evacuated=frozenset(value.evacuated), rollouts=rollouts
+            )
         table = json.loads(value.config)
         hosts = {}
         for row in table["routes"]:
@@ -139,10 +181,19 @@
         for rows in hosts.values():
             rows.sort(key=lambda entry: -len(entry[0]))
         services = {row["name"]: Service(row) for row in table["services"]}
-        return Snapshot(value.serial, {host: tuple(rows) for host, rows in hosts.items()}, services,
-                      Limits(table.get("limits") or {}), frozenset(value.evacuated), self.targets, self.proxies,
-                      read_keys(table.get("tenants")),
-                      merged_table(table, value.offers) if value.offers else NO_TABLE, value.sessions, rollouts)
+        return Snapshot(
+            value.serial,
+            {host: tuple(rows) for host, rows in hosts.items()},
+            services,
+            Limits(table.get("limits") or {}),
+            frozenset(value.evacuated),
+            self.targets,
+            self.proxies,
+            read_keys(table.get("tenants")),
+            merged_table(table, value.offers) if value.offers else NO_TABLE,
+            value.sessions,
+            rollouts,
+        )
 
 
 def empty_snapshot():
--- a/stagevale/ballots/__init__.py
+++ b/stagevale/ballots/__init__.py
@@ -17,7 +17,9 @@
 
 
 class Voter:
-    """Keeps the highest ballot promised for each of several duties; in memory, for duties over soft state."""
+    """Keeps the highest ballot promised for each of several duties; in memory, for duties over soft
+    state.
+    """
 
     __slots__ = ("promised",)
 
@@ -56,8 +58,10 @@
 
     def won(self, *groups):
         """True once a majority of each of the groups has promised."""
-        return all(sum(1 for member in group if member in self.yes) >= majority(len(group))
-                   for group in (groups or (self.group,)))
+        return all(
+            sum(1 for member in group if member in self.yes) >= majority(len(group))
+            for group in (groups or (self.group,))
+        )
 
     def lost(self):
         """True once a majority can't come about any more."""
--- a/stagevale/commands.py
+++ b/stagevale/commands.py
@@ -1,4 +1,5 @@
 """The commands of `python3 -m stagevale`, for people."""
+
 import json
 import sys
 
@@ -6,7 +7,11 @@
 
 from stagevale import __version__
 
-cli = App(name="stagevale", version=__version__, help="A global load balancer: three daemons and their tools.")
+cli = App(
+    name="stagevale",
+    version=__version__,
+    help="A global load balancer: three daemons and their tools.",
+)
 FINDINGS, MISUSE = 1, 2
 
 
@@ -19,6 +24,7 @@
 def proxy():
     """Run the proxy: serves front and readiness on an edge machine."""
     from stagevale.__main__ import daemon
+
     return daemon("proxy")
 
 
@@ -26,6 +32,7 @@
 def registry():
     """Run the registry: serves control and directory on a core machine."""
     from stagevale.__main__ import daemon
+
     return daemon("registry")
 
 
@@ -33,12 +40,21 @@
 def store():
     """Run the store: keeps the configuration on a core machine's disk."""
     from stagevale.__main__ import daemon
+
     return daemon("store")
 
 
 @cli.command
-def doctor(*, settings: str = "", deploy: str = "", config: str = "", control: str = "", directory: str = "",
-           ready: str = "", json_: bool = False):
+def doctor(
+    *,
+    settings: str = "",
+    deploy: str = "",
+    config: str = "",
+    control: str = "",
+    directory: str = "",
+    ready: str = "",
+    json_: bool = False,
+):
     """Look for common faults; exit 0 clean, 1 findings, 2 misuse.
 
     Parameters
@@ -60,12 +76,17 @@
     """
     from stagevale import doctoring
     from stagevale.settings import SettingsFailure, split_address
+
     if not (settings or deploy or config or control):
         return misuse("doctor: name at least one of --settings, --deploy, --config, --control")
     if (directory or ready) and not control:
         return misuse("doctor: --directory and --ready go with --control")
     try:
-        for name, address in (("--control", control), ("--directory", directory), ("--ready", ready)):
+        for name, address in (
+            ("--control", control),
+            ("--directory", directory),
+            ("--ready", ready),
+        ):
             if address:
                 split_address(address, name)
     except SettingsFailure as failure:
@@ -76,7 +97,9 @@
                 with open(path, encoding="utf-8") as file:
                     file.read(1)
             except (OSError, UnicodeDecodeError) as failure:
-                return misuse(f"doctor: {name}: {path} can't be read: {getattr(failure, 'strerror', None) or failure}")
+                return misuse(
+                    f"doctor: {name}: {path} can't be read: {getattr(failure, 'strerror', None) or failure}"
+                )
     found = []
     if settings:
         found += doctoring.check_settings(settings)
@@ -96,25 +119,20 @@
 
 
 @cli.command
-def rehearse(region: str, *, control: list[str], seconds: int = 20, seed: int = 1, json_: bool = False):
-    """Rehearse the loss of a region beside the real traffic; exit 0 done, 1 it would hurt, 2 misuse.
-
-    Parameters
-    ----------
-    region
-        the region to lose.
-    control
-        ip:port of a registry's control; give it several times to hear what more proxies report.
-    seconds
-        how much traffic to model, 1 to 600.
-    seed
-        the model's luck; the same seed gives the same table.
-    json_
-        print the table as JSON.
+def rehearse(
+    region: str, *, control: list[str], seconds: int = 20, seed: int = 1, json_: bool = False
+):
+    """Rehearse the loss of a region beside the real traffic; exit 0 done, 1 it would hurt, 2
+    misuse.
+
+    Parameters ---------- region the region to lose. control ip:port of a registry's control; give
+    it several times to hear what more proxies report. seconds how much traffic to model, 1 to 600.
+    seed the model's luck; the same seed gives the same table. json_ print the table as JSON.
     """
     from stagevale import rehearsing
     from stagevale.doctoring import ask
     from stagevale.settings import Bounds, SettingsFailure, split_address
+
     if not 1 <= seconds <= 600:
         return misuse(f"rehearse: --seconds: want 1 to 600, got {seconds}")
     stands, config = [], None
@@ -140,20 +158,34 @@
     if json_:
         print(json.dumps(table, indent=1))
         return FINDINGS if hurt else 0
-    print(f"Without {region}, modelled for {seconds} s beside the real traffic; no request was sent anywhere.")
+    print(
+        f"Without {region}, modelled for {seconds} s beside the real traffic; no request was sent anywhere."
+    )
     kind = None
     for row in table["routes"]:
         if row["kind"] != kind:
             kind = row["kind"]
             print(f"\n{kind}:")
         calm, lost = row["calm"], row["lost"]
-        print(f"  {row['route']}: in aim {lost['inAim']:.1%} (calm {calm['inAim']:.1%}), refused {lost['refused']:.1%}, "
-              f"most runs of a request {lost['mostRunsOfAJob']}")
-        for name, shares in (("seen", row["seen"]), ("calm", calm["regions"]), ("lost", lost["regions"])):
-            print(f"    {name:5} " + "  ".join(f"{place} {share:.0%}" for place, share in shares.items()))
+        print(
+            f"  {row['route']}: in aim {lost['inAim']:.1%} (calm {calm['inAim']:.1%}), refused {lost['refused']:.1%}, "
+            f"most runs of a request {lost['mostRunsOfAJob']}"
+        )
+        for name, shares in (
+            ("seen", row["seen"]),
+            ("calm", calm["regions"]),
+            ("lost", lost["regions"]),
+        ):
+            print(
+                f"    {name:5} "
+                + "  ".join(f"{place} {share:.0%}" for place, share in shares.items())
+            )
         if not row["homeLeft"]:
             print(f"    no home is left: its homes are {', '.join(row['homes'])}")
-    print("\nfronts, requests a second: " + "  ".join(f"{front} {per_s}" for front, per_s in table["fronts"].items()))
+    print(
+        "\nfronts, requests a second: "
+        + "  ".join(f"{front} {per_s}" for front, per_s in table["fronts"].items())
+    )
     return FINDINGS if hurt else 0
 
 
@@ -162,9 +194,12 @@
 
 
 def ask_controls(step, control, path, method="GET", body=None, timeout_s=10.0):
-    """Asks one control address after the other until one gives a clear answer: (address, status, answer)."""
+    """Asks one control address after the other until one gives a clear answer: (address, status,
+    answer).
+    """
     from stagevale.doctoring import ask
     from stagevale.settings import SettingsFailure, split_address
+
     for address in control:
         try:
             split_address(address, "--control")
@@ -178,7 +213,9 @@
 
 
 def order_outcome(step, outcome, done):
-    """What to print and the exit code for an order: 0 done, 1 the system said no or can't be reached."""
+    """What to print and the exit code for an order: 0 done, 1 the system said no or can't be
+    reached.
+    """
     address, status, answer = outcome
     if status == 200:
         print(done)
@@ -192,24 +229,22 @@
 
 @partners.command
 def offer(name: str, file: str, *, control: list[str]):
-    """Put a partner's offer in force; returns once no proxy may use what it narrowed; exit 0 done, 1 refused, 2 misuse.
+    """Put a partner's offer in force; returns once no proxy may use what it narrowed; exit 0 done,
+    1 refused, 2 misuse.
 
-    Parameters
-    ----------
-    name
-        the partner.
-    file
-        the offer, JSON with version, parentVersion, routes and restrictions.
-    control
-        ip:port of a registry's control; more than one are tried in turn.
+    Parameters ---------- name the partner. file the offer, JSON with version, parentVersion, routes
+    and restrictions. control ip:port of a registry's control; more than one are tried in turn.
     """
     from urllib.parse import quote
+
     try:
         with open(file, "rb") as handle:
             body = handle.read()
     except OSError as failure:
         return misuse(f"partners offer: {file} can't be read: {failure.strerror}")
-    outcome = ask_controls("partners offer", control, f"/v1/partners/{quote(name, safe='')}/offer", "PUT", body, 15.0)
+    outcome = ask_controls(
+        "partners offer", control, f"/v1/partners/{quote(name, safe='')}/offer", "PUT", body, 15.0
+    )
     return order_outcome("partners offer", outcome, f"{name}: the offer is in force")
 
 
@@ -225,24 +260,29 @@
         ip:port of a registry's control; more than one are tried in turn.
     """
     from urllib.parse import quote
-    outcome = ask_controls("partners withdraw", control, f"/v1/partners/{quote(name, safe='')}/offer", "DELETE",
-                          None, 15.0)
+
+    outcome = ask_controls(
+        "partners withdraw",
+        control,
+        f"/v1/partners/{quote(name, safe='')}/offer",
+        "DELETE",
+        None,
+        15.0,
+    )
     return order_outcome("partners withdraw", outcome, f"{name}: withdrawn")
 
 
 @partners.command
 def show(*, control: list[str], json_: bool = False):
-    """Show the merged table and who holds it; exit 0 all alike, 1 some differ, lag or can't say, 2 misuse.
+    """Show the merged table and who holds it; exit 0 all alike, 1 some differ, lag or can't say, 2
+    misuse.
 
-    Parameters
-    ----------
-    control
-        ip:port of a registry's control; each one is asked and compared, with the proxies that it feeds.
-    json_
-        print what was heard as JSON.
+    Parameters ---------- control ip:port of a registry's control; each one is asked and compared,
+    with the proxies that it feeds. json_ print what was heard as JSON.
     """
     from stagevale.doctoring import ask
     from stagevale.settings import SettingsFailure, split_address
+
     heard, faults = {}, []
     for address in control:
         try:
@@ -264,15 +304,23 @@
             faults.append(f"{address}: holds {table['mark']} of version {table['serial']}")
         for row in table["proxies"] if newest["rows"] else ():
             if row["mark"] != newest["mark"]:
-                faults.append(f"proxy {row['address']}: " + (f"holds {row['mark']} of version {row['serial']}"
-                                                             if row["mark"] else "has not said what it holds"))
+                faults.append(
+                    f"proxy {row['address']}: "
+                    + (
+                        f"holds {row['mark']} of version {row['serial']}"
+                        if row["mark"]
+                        else "has not said what it holds"
+                    )
+                )
     if json_:
         print(json.dumps({"table": newest, "faults": faults}, indent=1))
         return FINDINGS if faults else 0
     print(f"table {newest['mark']}, version {newest['serial']}, {len(newest['rows'])} rows")
     for row in newest["rows"]:
-        print(f"  {'kept   ' if row['kept'] else 'dropped'} {row['host']}{row['pathPrefix']} of {row['partner']} "
-              f"{row['offer']}: {row['reason']}")
+        print(
+            f"  {'kept   ' if row['kept'] else 'dropped'} {row['host']}{row['pathPrefix']} of {row['partner']} "
+            f"{row['offer']}: {row['reason']}"
+        )
         for words in row["withheld"]:
             print(f"            withheld by {words}")
     for fault in faults:
@@ -281,27 +329,28 @@
 
 
 @partners.command
-def explain(host: str, path: str, *, control: list[str], zone: str = "", tenant: str = "", json_: bool = False):
-    """Show which rows are weighed for a host and path, and which wins; exit 0 one wins, 1 none does, 2 misuse.
-
-    Parameters
-    ----------
-    host
-        the host of the request.
-    path
-        the path of the request.
-    control
-        ip:port of a registry's control; more than one are tried in turn.
-    zone
-        where the request comes in.
-    tenant
-        whose request it is.
-    json_
-        print the answer as JSON.
+def explain(
+    host: str,
+    path: str,
+    *,
+    control: list[str],
+    zone: str = "",
+    tenant: str = "",
+    json_: bool = False,
+):
+    """Show which rows are weighed for a host and path, and which wins; exit 0 one wins, 1 none
+    does, 2 misuse.
+
+    Parameters ---------- host the host of the request. path the path of the request. control
+    ip:port of a registry's control; more than one are tried in turn. zone where the request comes
+    in. tenant whose request it is. json_ print the answer as JSON.
     """
     from urllib.parse import urlencode
+
     query = urlencode({"host": host, "path": path, "zone": zone, "tenant": tenant})
-    address, status, answer = ask_controls("partners explain", control, f"/v1/partners/explain?{query}")
+    address, status, answer = ask_controls(
+        "partners explain", control, f"/v1/partners/explain?{query}"
+    )
     if status == 400 and isinstance(answer, dict):
         return misuse(f"partners explain: {answer.get('error')}")
     if status != 200:
@@ -312,12 +361,16 @@
     for name in answer["own"]:
         print(f"  own route {name}")
     for row in answer["weighed"]:
-        print(f"  {row['partner']} {row['offer']} {row['pathPrefix']}: {row['against'] or 'may take it'}")
+        print(
+            f"  {row['partner']} {row['offer']} {row['pathPrefix']}: {row['against'] or 'may take it'}"
+        )
     print(f"won: {answer['won']}" if answer["won"] else "no route takes it")
     return 0 if answer["won"] else FINDINGS
 
 
-rollouts = App(name="rollouts", help="The stepwise shift of a service to a new version of its endpoints.")
+rollouts = App(
+    name="rollouts", help="The stepwise shift of a service to a new version of its endpoints."
+)
 cli.command(rollouts)
 
 
@@ -325,39 +378,33 @@
 def start_rollout(service: str, file: str, *, control: list[str]):
     """Start a rollout; exit 0 started, 1 refused, 2 misuse.
 
-    Parameters
-    ----------
-    service
-        the service whose requests shift.
-    file
-        the rollout, JSON with version, parentVersion, from, to, steps, failureShare, leastRequests, watchS.
-    control
-        ip:port of a registry's control; more than one are tried in turn.
+    Parameters ---------- service the service whose requests shift. file the rollout, JSON with
+    version, parentVersion, from, to, steps, failureShare, leastRequests, watchS. control ip:port of
+    a registry's control; more than one are tried in turn.
     """
     from urllib.parse import quote
+
     try:
         with open(file, "rb") as handle:
             body = handle.read()
     except OSError as failure:
         return misuse(f"rollouts start: {file} can't be read: {failure.strerror}")
-    outcome = ask_controls("rollouts start", control, f"/v1/rollouts/{quote(service, safe='')}", "PUT", body)
+    outcome = ask_controls(
+        "rollouts start", control, f"/v1/rollouts/{quote(service, safe='')}", "PUT", body
+    )
     return order_outcome("rollouts start", outcome, f"{service}: the rollout has started")
 
 
 @rollouts.command(name="show")
 def show_rollouts(service: str = "", *, control: list[str], json_: bool = False):
-    """Show the rollouts; exit 0 nothing to worry about, 1 fallen back, warned of or no answer, 2 misuse.
+    """Show the rollouts; exit 0 nothing to worry about, 1 fallen back, warned of or no answer, 2
+    misuse.
 
-    Parameters
-    ----------
-    service
-        only this service's rollout.
-    control
-        ip:port of a registry's control; more than one are tried in turn.
-    json_
-        print the answer as JSON.
+    Parameters ---------- service only this service's rollout. control ip:port of a registry's
+    control; more than one are tried in turn. json_ print the answer as JSON.
     """
     from urllib.parse import quote
+
     path = f"/v1/rollouts/{quote(service, safe='')}" if service else "/v1/rollouts"
     address, status, answer = ask_controls("rollouts show", control, path)
     if status != 200:
@@ -370,14 +417,22 @@
     if not rows:
         print("no rollouts")
     for row in rows:
-        print(f"{row['service']} r{row['version']}: {row['from']} to {row['to']}, {row['shown']}, step {row['step'] + 1} of "
-              f"{len(row['steps'])}, share {row['share']:.0%}" + (f": {row['reason']}" if row["reason"] else ""))
+        print(
+            f"{row['service']} r{row['version']}: {row['from']} to {row['to']}, {row['shown']}, step {row['step'] + 1} of "
+            f"{len(row['steps'])}, share {row['share']:.0%}"
+            + (f": {row['reason']}" if row["reason"] else "")
+        )
         if row["leasesLeftMs"]:
             print(f"  leases on {row['to']} may stand for {row['leasesLeftMs']} ms yet")
         for side in ("from", "to"):
-            sums, held = row["outcomes"][side], row["endpoints"].get(row[side], {"endpoints": 0, "slots": 0})
-            print(f"  {row[side]}: {sums['requests']} requests, {sums['failed']} failed, {sums['late']} late; "
-                  f"{held['endpoints']} endpoints, {held['slots']} slots")
+            sums, held = (
+                row["outcomes"][side],
+                row["endpoints"].get(row[side], {"endpoints": 0, "slots": 0}),
+            )
+            print(
+                f"  {row[side]}: {sums['requests']} requests, {sums['failed']} failed, {sums['late']} late; "
+                f"{held['endpoints']} endpoints, {held['slots']} slots"
+            )
         for warning in row["warnings"]:
             print(f"  warning: {warning}")
     return FINDINGS if worry else 0
@@ -385,8 +440,15 @@
 
 def move_rollout(order, service, control, done):
     from urllib.parse import quote
-    outcome = ask_controls(f"rollouts {order}", control, f"/v1/rollouts/{quote(service, safe='')}/{order}", "POST", None,
-                          15.0)
+
+    outcome = ask_controls(
+        f"rollouts {order}",
+        control,
+        f"/v1/rollouts/{quote(service, safe='')}/{order}",
+        "POST",
+        None,
+        15.0,
+    )
     return order_outcome(f"rollouts {order}", outcome, f"{service}: {done}")
 
 
@@ -410,35 +472,37 @@
 
 @rollouts.command
 def rollback(service: str, *, control: list[str]):
-    """Fall back; returns once no proxy may use the new version; exit 0 done, 1 refused, 2 misuse."""
+    """Fall back; returns once no proxy may use the new version; exit 0 done, 1 refused, 2
+    misuse.
+    """
     return move_rollout("rollback", service, control, "fallen back on every node")
 
 
 @rollouts.command(name="end")
 def end_rollout(service: str, *, control: list[str]):
-    """End a rollout: back to the ordinary choice among all versions; exit 0 done, 1 refused, 2 misuse."""
+    """End a rollout: back to the ordinary choice among all versions; exit 0 done, 1 refused, 2
+    misuse.
+    """
     from urllib.parse import quote
-    outcome = ask_controls("rollouts end", control, f"/v1/rollouts/{quote(service, safe='')}", "DELETE")
+
+    outcome = ask_controls(
+        "rollouts end", control, f"/v1/rollouts/{quote(service, safe='')}", "DELETE"
+    )
     return order_outcome("rollouts end", outcome, f"{service}: ended")
 
 
 @cli.command
 def delays(*, control: list[str], edge: str = "", region: str = "", json_: bool = False):
-    """Show for each edge and region the delay it expects beside what callers got; exit 0 shown, 1 nothing known, 2 misuse.
+    """Show for each edge and region the delay it expects beside what callers got; exit 0 shown, 1
+    nothing known, 2 misuse.
 
-    Parameters
-    ----------
-    control
-        ip:port of a registry's control; give every one, since each knows the edges that it feeds.
-    edge
-        only the edge with this address or front.
-    region
-        only answers from this region.
-    json_
-        print the rows as JSON.
+    Parameters ---------- control ip:port of a registry's control; give every one, since each knows
+    the edges that it feeds. edge only the edge with this address or front. region only answers from
+    this region. json_ print the rows as JSON.
     """
     from stagevale.doctoring import ask
     from stagevale.settings import SettingsFailure, split_address
+
     rows, faults = [], []
     for address in control:
         try:
@@ -451,15 +515,20 @@
             continue
         for proxy in stand["proxies"]:
             if edge in ("", proxy["address"], proxy["front"]):
-                rows += [{"edge": proxy["address"], "zone": proxy["zone"], **row} for row in proxy["delays"]
-                         if region in ("", row["region"])]
+                rows += [
+                    {"edge": proxy["address"], "zone": proxy["zone"], **row}
+                    for row in proxy["delays"]
+                    if region in ("", row["region"])
+                ]
     if json_:
         print(json.dumps({"delays": rows, "faults": faults}, indent=1))
     else:
         for row in rows:
-            print(f"{row['edge']} in {row['zone']}, {row['service']} at {row['region']}: share {row['share']:.0%}, expected "
-                  f"{row['expectedMs']:.0f} ms, got {row['gotMs']:.0f} ms (median {row['medianMs']:.0f}, 95th "
-                  f"{row['p95Ms']:.0f}) in {row['count']} answers, last {row['ageMs'] / 1000:.1f} s ago")
+            print(
+                f"{row['edge']} in {row['zone']}, {row['service']} at {row['region']}: share {row['share']:.0%}, expected "
+                f"{row['expectedMs']:.0f} ms, got {row['gotMs']:.0f} ms (median {row['medianMs']:.0f}, 95th "
+                f"{row['p95Ms']:.0f}) in {row['count']} answers, last {row['ageMs'] / 1000:.1f} s ago"
+            )
     for fault in faults:
         sys.stderr.write(f"stagevale: delays: {fault}\n")
     if not rows and not json_:
@@ -485,20 +554,27 @@
         print the record as JSON.
     """
     from urllib.parse import quote
+
     if not id or len(id) > 256:
         return misuse("sessions show: the session's name must have 1 to 256 bytes")
-    address, status, answer = ask_controls("sessions show", control, f"/v1/sessions/{quote(id, safe='')}")
+    address, status, answer = ask_controls(
+        "sessions show", control, f"/v1/sessions/{quote(id, safe='')}"
+    )
     if status != 200:
         return order_outcome("sessions show", (address, status, answer), "")
     if json_:
         print(json.dumps(answer, indent=1))
         return 0
     for record in answer["records"]:
-        print(f"version {record['version']}, held by {record['holder'] or 'nobody'}, kept by group {record['group']}")
+        print(
+            f"version {record['version']}, held by {record['holder'] or 'nobody'}, kept by group {record['group']}"
+        )
         for service, endpoint in sorted(record["endpoints"].items()):
             print(f"  {service} at {endpoint}")
         for request in record["requests"]:
-            print(f"  key {request['key']}: {request['state']}, noted by {request['by']}, kept for {request['keptForS']} s")
+            print(
+                f"  key {request['key']}: {request['state']}, noted by {request['by']}, kept for {request['keptForS']} s"
+            )
     return 0
 
 
--- a/stagevale/configuration/checking.py
+++ b/stagevale/configuration/checking.py
@@ -1,4 +1,5 @@
 """Reading and checking of the operator's configurations, with trafaret."""
+
 import hashlib
 import json
 
@@ -52,57 +53,78 @@
 
 NUMBER = t.Int(gte=0) | t.Float(gte=0)
 PART = t.Dict({t.Key("service"): t.String(), t.Key("weight"): NUMBER}, allow_extra="*")
-ROUTE = t.Dict({
-    t.Key("name", optional=True): t.String(allow_blank=True),
-    t.Key("host"): t.String(),
-    t.Key("pathPrefix"): t.String() & check_prefix,
-    t.Key("variant", optional=True): t.Enum("pure", "effectful"),
-    t.Key("timeoutMs"): t.Int(gt=0) | t.Float(gt=0),
-    t.Key("targetMs", optional=True): NUMBER,
-    t.Key("priority", optional=True): NUMBER,
-    t.Key("maxAttempts", optional=True): t.Int(gte=1),
-    t.Key("homeRegions", optional=True): t.List(t.String()) | t.Null(),
-    t.Key("service", optional=True): t.String(),
-    t.Key("weighted", optional=True): t.List(PART, min_length=1),
-    t.Key("public", optional=True): t.Bool() | t.Null(),
-    t.Key("affinity", optional=True): t.Dict({
-        t.Key("header"): t.String(max_length=64) & check_header,
-        t.Key("keepS", optional=True): t.Int(gte=1) | t.Float(gte=1),
-    }) | t.Null(),
-}, allow_extra="*")
-TENANT = t.Dict({
-    t.Key("name"): t.String(),
-    t.Key("apiKeys", optional=True): t.List(t.String()) | t.Null(),
-    t.Key("priority", optional=True): NUMBER | t.Null(),
-    t.Key("homeRegions", optional=True): t.List(t.String()) | t.Null(),
-}, allow_extra="*")
-SERVICE = t.Dict({
-    t.Key("name"): t.String(),
-    t.Key("healthPath", optional=True): t.String(),
-    t.Key("maxConns", optional=True): NUMBER,
-    t.Key("warmupS", optional=True): NUMBER,
-    t.Key("coldPerS", optional=True): NUMBER,
-}, allow_extra="*")
-CONFIG = t.Dict({
-    t.Key("version"): check_version,
-    t.Key("parentVersion", default=0): check_version,
-    t.Key("routes"): t.List(ROUTE),
-    t.Key("services"): t.List(SERVICE),
-    t.Key("limits", optional=True): t.Dict({}, allow_extra="*"),
-    t.Key("tenants", optional=True): t.List(TENANT) | t.Null(),
-}, allow_extra="*")
+ROUTE = t.Dict(
+    {
+        t.Key("name", optional=True): t.String(allow_blank=True),
+        t.Key("host"): t.String(),
+        t.Key("pathPrefix"): t.String() & check_prefix,
+        t.Key("variant", optional=True): t.Enum("pure", "effectful"),
+        t.Key("timeoutMs"): t.Int(gt=0) | t.Float(gt=0),
+        t.Key("targetMs", optional=True): NUMBER,
+        t.Key("priority", optional=True): NUMBER,
+        t.Key("maxAttempts", optional=True): t.Int(gte=1),
+        t.Key("homeRegions", optional=True): t.List(t.String()) | t.Null(),
+        t.Key("service", optional=True): t.String(),
+        t.Key("weighted", optional=True): t.List(PART, min_length=1),
+        t.Key("public", optional=True): t.Bool() | t.Null(),
+        t.Key("affinity", optional=True): t.Dict(
+            {
+                t.Key("header"): t.String(max_length=64) & check_header,
+                t.Key("keepS", optional=True): t.Int(gte=1) | t.Float(gte=1),
+            }
+        )
+        | t.Null(),
+    },
+    allow_extra="*",
+)
+TENANT = t.Dict(
+    {
+        t.Key("name"): t.String(),
+        t.Key("apiKeys", optional=True): t.List(t.String()) | t.Null(),
+        t.Key("priority", optional=True): NUMBER | t.Null(),
+        t.Key("homeRegions", optional=True): t.List(t.String()) | t.Null(),
+    },
+    allow_extra="*",
+)
+SERVICE = t.Dict(
+    {
+        t.Key("name"): t.String(),
+        t.Key("healthPath", optional=True): t.String(),
+        t.Key("maxConns", optional=True): NUMBER,
+        t.Key("warmupS", optional=True): NUMBER,
+        t.Key("coldPerS", optional=True): NUMBER,
+    },
+    allow_extra="*",
+)
+CONFIG = t.Dict(
+    {
+        t.Key("version"): check_version,
+        t.Key("parentVersion", default=0): check_version,
+        t.Key("routes"): t.List(ROUTE),
+        t.Key("services"): t.List(SERVICE),
+        t.Key("limits", optional=True): t.Dict({}, allow_extra="*"),
+        t.Key("tenants", optional=True): t.List(TENANT) | t.Null(),
+    },
+    allow_extra="*",
+)
 
 
 def places_of(failure, place=""):
     """What a check found, as one `place: why` for each place."""
     why = failure.error if isinstance(failure, t.DataError) else failure
     if isinstance(why, dict):
-        return [row for key, inner in why.items() for row in places_of(inner, f"{place}.{key}" if place else str(key))]
+        return [
+            row
+            for key, inner in why.items()
+            for row in places_of(inner, f"{place}.{key}" if place else str(key))
+        ]
     return [f"{place}: {why}" if place else str(why)]
 
 
 def read_shape(text, shape) -> Result:
-    """The text as Ok(table) of this shape, or Error(ConfigFailure) with each place that is wrong."""
+    """The text as Ok(table) of this shape, or Error(ConfigFailure) with each place that is
+    wrong.
+    """
     try:
         return Ok(shape.check(json.loads(text)))
     except t.DataError as failure:
--- a/stagevale/configuration/disk.py
+++ b/stagevale/configuration/disk.py
@@ -1,4 +1,5 @@
 """What a store keeps on disk: whole generations of a dbm.dumb table, synced before they count."""
+
 import dbm.dumb
 import os
 import re
@@ -47,7 +48,9 @@
 
 
 def write_table(folder, name, key, data):
-    """Writes a fresh table with its check and syncs its files and the folder; only then does it count."""
+    """Writes a fresh table with its check and syncs its files and the folder; only then does it
+    count.
+    """
     for ending in (".dat", ".dir", ".bak"):
         folder.remove(name + ending)
     table = dbm.dumb.open(os.path.join(folder.path, name), "n")
@@ -71,8 +74,10 @@
 
     def load(self):
         """The newest record that is whole, or None where there is none."""
-        generations = sorted((int(match.group(1)) for match in map(NAME.match, self.folder.names()) if match),
-                             reverse=True)
+        generations = sorted(
+            (int(match.group(1)) for match in map(NAME.match, self.folder.names()) if match),
+            reverse=True,
+        )
         if generations:
             self.generation = generations[0]
         for generation in generations:
--- a/stagevale/configuration/keeping.py
+++ b/stagevale/configuration/keeping.py
@@ -1,10 +1,20 @@
-"""The configuration part: a compare-and-set register by ballots, kept on disk by a small group of stores."""
+"""The configuration part: a compare-and-set register by ballots, kept on disk by a small group of
+stores.
+"""
+
 import json
 
 from stagevale import wire
 from stagevale.ballots import NO_BALLOT, Round, as_ballot, majority
-from stagevale.configuration.orders import (MOVE_ROLLOUT, OFFER, READ_ROLLOUTS, SERIAL, START_ROLLOUT, WITHDRAW,
-                                            decide)
+from stagevale.configuration.orders import (
+    MOVE_ROLLOUT,
+    OFFER,
+    READ_ROLLOUTS,
+    SERIAL,
+    START_ROLLOUT,
+    WITHDRAW,
+    decide,
+)
 from stagevale.configuration.value import Value, read_value
 from stagevale.membership.state import JOINING, UP
 
@@ -37,11 +47,44 @@
     duty = "configuration"
     read_value = staticmethod(read_value)
 
-    __slots__ = ("context", "board", "membership", "disk", "promised", "accepted_ballot", "accepted", "wiped",
-                 "loaded", "dirty", "saving", "save_waiters", "ballot", "chosen", "owner_ballot", "owner_heard_ms",
-                 "electing", "queue", "busy", "unconfirmed", "seed_stores", "life", "timer", "beat_ms", "call_ms",
-                 "highest_round", "peers", "stopping", "tried_growth_ms", "gone_since_ms",
-                 "narrowed_ms", "lost_since_ms", "settled_names", "settle_planned", "judge", "judging")
+    __slots__ = (
+        "context",
+        "board",
+        "membership",
+        "disk",
+        "promised",
+        "accepted_ballot",
+        "accepted",
+        "wiped",
+        "loaded",
+        "dirty",
+        "saving",
+        "save_waiters",
+        "ballot",
+        "chosen",
+        "owner_ballot",
+        "owner_heard_ms",
+        "electing",
+        "queue",
+        "busy",
+        "unconfirmed",
+        "seed_stores",
+        "life",
+        "timer",
+        "beat_ms",
+        "call_ms",
+        "highest_round",
+        "peers",
+        "stopping",
+        "tried_growth_ms",
+        "gone_since_ms",
+        "narrowed_ms",
+        "lost_since_ms",
+        "settled_names",
+        "settle_planned",
+        "judge",
+        "judging",
+    )
 
     def __init__(self, context, board, membership, disk):
         settings = context.settings
@@ -64,7 +107,9 @@
         self.queue = []
         self.busy = False
         self.unconfirmed = 0
-        self.seed_stores = tuple(f"{ip}:{settings.inner_ports[0] + self.port_offset}" for ip in settings.seeds)
+        self.seed_stores = tuple(
+            f"{ip}:{settings.inner_ports[0] + self.port_offset}" for ip in settings.seeds
+        )
         self.life = f"{context.random.getrandbits(32):08x}"
         self.beat_ms = settings.bounds.contact_ms / 4.0
         self.call_ms = settings.bounds.ack_deadline_ms / 8.0
@@ -79,10 +124,16 @@
         self.settle_planned = False
         self.judge = None
         self.judging = False
-        for kind, handler in ((wire.PREPARE, self.on_prepare), (wire.ACCEPT, self.on_accept),
-                              (wire.CONFIRM, self.on_confirm), (wire.LEARN, self.on_learn),
-                              (wire.BEACON, self.on_beacon), (wire.ORDER, self.on_order), (wire.WHO_OWNS, self.on_who_owns),
-                              (wire.READ_VALUE, self.on_read_value)):
+        for kind, handler in (
+            (wire.PREPARE, self.on_prepare),
+            (wire.ACCEPT, self.on_accept),
+            (wire.CONFIRM, self.on_confirm),
+            (wire.LEARN, self.on_learn),
+            (wire.BEACON, self.on_beacon),
+            (wire.ORDER, self.on_order),
+            (wire.WHO_OWNS, self.on_who_owns),
+            (wire.READ_VALUE, self.on_read_value),
+        ):
             board.on(self.kinds + kind, handler)
 
     def start(self):
@@ -92,7 +143,9 @@
     def on_loaded(self, record, failure):
         settings = self.context.settings
         if failure is not None:
-            self.context.log.error("%s: the disk can't be read: %s; trying again.", self.prefix, failure)
+            self.context.log.error(
+                "%s: the disk can't be read: %s; trying again.", self.prefix, failure
+            )
             self.context.after(self.beat_ms, self.start)
             return
         if record is not None:
@@ -102,11 +155,14 @@
             self.accepted = self.read_value(packed) if packed else None
             self.peers = set(peers)
             self.membership.contacts.extend(sorted(self.peers))
-            self.context.log.info("%s: loaded version %d.", self.prefix, self.accepted.serial if self.accepted else 0)
+            self.context.log.info(
+                "%s: loaded version %d.", self.prefix, self.accepted.serial if self.accepted else 0
+            )
         elif not settings.first_start:
             self.wiped = True
-            self.context.log.warning("%s: the disk is empty though this is no first start; learning first.",
-                                     self.prefix)
+            self.context.log.warning(
+                "%s: the disk is empty though this is no first start; learning first.", self.prefix
+            )
         self.highest_round = self.promised[0]
         self.loaded = True
         self.save(self.begin)
@@ -115,8 +171,15 @@
         self.tick()
 
     def record(self):
-        return wire.pack([0, list(self.promised), list(self.accepted_ballot),
-                          self.accepted.packed if self.accepted else b"", sorted(self.peers)])
+        return wire.pack(
+            [
+                0,
+                list(self.promised),
+                list(self.accepted_ballot),
+                self.accepted.packed if self.accepted else b"",
+                sorted(self.peers),
+            ]
+        )
 
     def save(self, done):
         """Brings the memory's state to disk; `done(saved)` once a save that covers it has ended."""
@@ -143,6 +206,7 @@
             for done in waiters:
                 done(failure is None)
             self.next_save()
+
         self.context.disk(lambda: self.disk.save(record), saved)
 
     def group(self):
@@ -168,8 +232,15 @@
 
         def saved(done):
             held = done and self.promised == ballot
-            reply([held, list(self.promised), list(self.accepted_ballot),
-                   self.accepted.packed if self.accepted else b""])
+            reply(
+                [
+                    held,
+                    list(self.promised),
+                    list(self.accepted_ballot),
+                    self.accepted.packed if self.accepted else b"",
+                ]
+            )
+
         self.save(saved)
 
     def on_accept(self, peer, body, reply):
@@ -194,22 +265,38 @@
         reply([self.loaded and not self.wiped and self.promised == ballot, list(self.promised)])
 
     def on_learn(self, peer, body, reply):
-        reply([self.loaded and not self.wiped, list(self.promised), list(self.accepted_ballot),
-               self.accepted.packed if self.accepted else b""])
+        reply(
+            [
+                self.loaded and not self.wiped,
+                list(self.promised),
+                list(self.accepted_ballot),
+                self.accepted.packed if self.accepted else b"",
+            ]
+        )
 
     def ask_all(self, peers, kind, body, deadline_ms, answered):
-        """Puts one question to several stores; `answered(peer, answer, failure)` is called for each."""
+        """Puts one question to several stores; `answered(peer, answer, failure)` is called for
+        each.
+        """
         for peer in peers:
-            self.board.call(peer, self.kinds + kind, body, deadline_ms,
-                            lambda answer, failure, peer=peer: answered(peer, answer, failure))
+            self.board.call(
+                peer,
+                self.kinds + kind,
+                body,
+                deadline_ms,
+                lambda answer, failure, peer=peer: answered(peer, answer, failure),
+            )
 
     # owning
 
     def tick(self):
         self.context.after(self.beat_ms, self.tick)
         now_ms = self.context.now_ms()
-        known = {f"{member.machine}:{self.context.settings.inner_ports[0]}"
-                 for member in self.membership.others() if member.core}
+        known = {
+            f"{member.machine}:{self.context.settings.inner_ports[0]}"
+            for member in self.membership.others()
+            if member.core
+        }
         if known - self.peers:
             self.peers |= known
             self.save(lambda done: None)
@@ -285,8 +372,13 @@
         self.ballot = ballot
         self.narrowed_ms = self.context.now_ms()
         self.busy = True
-        self.context.log.info("%s: won the %s duty, round %d, version %d.", self.prefix, self.duty, ballot[0],
-                              value.serial)
+        self.context.log.info(
+            "%s: won the %s duty, round %d, version %d.",
+            self.prefix,
+            self.duty,
+            ballot[0],
+            value.serial,
+        )
         self.accept(value, self.taken_over(value), lambda chosen: self.pump())
 
     def first_value(self):
@@ -374,7 +466,9 @@
         self.ask_all(group, wire.CONFIRM, [list(ballot)], self.call_ms, answered)
 
     def beacon(self):
-        """Confirms the duty with a majority and says so to stores and registries; lets the group grow."""
+        """Confirms the duty with a majority and says so to stores and registries; lets the group
+        grow.
+        """
         ballot = self.ballot
 
         def confirmed(stands):
@@ -390,11 +484,16 @@
             if self.chosen is not None:
                 for member in self.audience():
                     if self.membership.reachable(member.address):
-                        self.board.cast(member.address, self.kinds + wire.BEACON, [list(ballot), self.chosen.serial])
+                        self.board.cast(
+                            member.address,
+                            self.kinds + wire.BEACON,
+                            [list(ballot), self.chosen.serial],
+                        )
                 self.grow()
                 self.tend_sessions()
                 self.judging = bool(getattr(self.chosen, "rollouts", None))
                 self.pump()
+
         self.confirm(confirmed)
 
     def audience(self):
@@ -402,29 +501,48 @@
         return [member for member in self.membership.others() if member.core]
 
     def grow(self):
-        """Takes one more daemon into the group, until it bears whatever leaves the core settled; replaces one that is gone."""
+        """Takes one more daemon into the group, until it bears whatever leaves the core settled;
+        replaces one that is gone.
+        """
         if self.busy or self.queue or self.chosen is None:
             return
         now_ms = self.context.now_ms()
-        living = [member for member in self.membership.members(self.program)
-                  if self.membership.reachable(member.address)]
+        living = [
+            member
+            for member in self.membership.members(self.program)
+            if self.membership.reachable(member.address)
+        ]
         machines = {member.machine for member in living}
         group = self.chosen.group
         present = {member.address for member in living}
-        self.gone_since_ms = {address: self.gone_since_ms.get(address, now_ms) for address in group
-                            if address not in present and address != self.board.address}
-        outside = [member for member in living if member.address not in group and member.state in (JOINING, UP)]
+        self.gone_since_ms = {
+            address: self.gone_since_ms.get(address, now_ms)
+            for address in group
+            if address not in present and address != self.board.address
+        }
+        outside = [
+            member
+            for member in living
+            if member.address not in group and member.state in (JOINING, UP)
+        ]
         if now_ms - self.tried_growth_ms < self.beat_ms / 2:
             return
         borne_ms = self.context.settings.bounds.contact_ms * GONE_SHARE
-        gone = [address for address, since_ms in self.gone_since_ms.items() if now_ms - since_ms > borne_ms]
+        gone = [
+            address
+            for address, since_ms in self.gone_since_ms.items()
+            if now_ms - since_ms > borne_ms
+        ]
         target = min(GROUP_MOST, 2 * ((max(len(machines), 1) - 1) // 2) + 1)
         if gone and len(group) > target:
             self.tried_growth_ms = now_ms
             self.busy = True
             self.context.log.info("%s: %s is gone and leaves the group.", self.prefix, gone[0])
-            self.accept(self.chosen, self.chosen.after(group=tuple(a for a in group if a != gone[0])),
-                        lambda chosen: self.pump())
+            self.accept(
+                self.chosen,
+                self.chosen.after(group=tuple(a for a in group if a != gone[0])),
+                lambda chosen: self.pump(),
+            )
             return
         if not outside or not gone and len(group) >= target:
             return
@@ -437,34 +555,73 @@
         comer, leaver = outside[0].address, gone[0] if gone else None
 
         def learned(answer, failure):
-            if failure is not None or not answer[0] or self.busy or self.chosen is None or self.ballot is None:
+            if (
+                failure is not None
+                or not answer[0]
+                or self.busy
+                or self.chosen is None
+                or self.ballot is None
+            ):
                 return
             if self.chosen.group != group:
                 return
-            value = self.chosen.after(group=tuple(address for address in group if address != leaver) + (comer,))
+            value = self.chosen.after(
+                group=tuple(address for address in group if address != leaver) + (comer,)
+            )
             self.busy = True
-            self.context.log.info("%s: %s joins the group%s.", self.prefix, comer,
-                                  f" for {leaver}, which is gone" if leaver else "")
+            self.context.log.info(
+                "%s: %s joins the group%s.",
+                self.prefix,
+                comer,
+                f" for {leaver}, which is gone" if leaver else "",
+            )
             self.accept(self.chosen, value, lambda chosen: self.pump())
+
         self.board.call(comer, self.kinds + wire.LEARN, [], self.call_ms, learned)
 
     def tend_sessions(self):
-        """Makes and mends the groups that keep session records; one change is settled before the next."""
+        """Makes and mends the groups that keep session records; one change is settled before the
+        next.
+        """
         value = self.chosen
-        if self.busy or self.queue or value is None or not (value.sessions or '"affinity"' in value.config):
+        if (
+            self.busy
+            or self.queue
+            or value is None
+            or not (value.sessions or '"affinity"' in value.config)
+        ):
             return
         from stagevale import affinity
+
         routes = json.loads(value.config)["routes"] if value.config else []
-        wanted = [name for homes in sorted({tuple(sorted(route.get("homeRegions") or ())) for route in routes
-                                            if route.get("affinity")}) for name in affinity.group_names(homes)]
-        registries = [member for member in self.membership.members("registry")
-                      if self.membership.reachable(member.address) and member.state in (JOINING, UP)]
+        wanted = [
+            name
+            for homes in sorted(
+                {
+                    tuple(sorted(route.get("homeRegions") or ()))
+                    for route in routes
+                    if route.get("affinity")
+                }
+            )
+            for name in affinity.group_names(homes)
+        ]
+        registries = [
+            member
+            for member in self.membership.members("registry")
+            if self.membership.reachable(member.address) and member.state in (JOINING, UP)
+        ]
         now_ms = self.context.now_ms()
         living = {member.address for member in registries}
         members = {address for _, group, _ in value.sessions.values() for address in group}
-        self.lost_since_ms = {address: self.lost_since_ms.get(address, now_ms) for address in members - living}
+        self.lost_since_ms = {
+            address: self.lost_since_ms.get(address, now_ms) for address in members - living
+        }
         borne_ms = self.context.settings.bounds.contact_ms * GONE_SHARE
-        gone = {address for address, since_ms in self.lost_since_ms.items() if now_ms - since_ms > borne_ms}
+        gone = {
+            address
+            for address, since_ms in self.lost_since_ms.items()
+            if now_ms - since_ms > borne_ms
+        }
         after = affinity.tend(value.sessions, wanted, registries, gone)
         if after is not None:
             self.busy = True
@@ -475,44 +632,63 @@
                 self.settle_sessions(name, version, group)
 
     def settle_sessions(self, name, version, group):
-        """Asks a changed group whether a majority has learned; all of those that have are settled in one change."""
+        """Asks a changed group whether a majority has learned; all of those that have are settled
+        in one change.
+        """
         ready = set()
 
         def answered(peer, answer, failure):
             if failure is None and answer:
                 ready.add(peer)
             value = self.chosen
-            if len(ready) < majority(len(group)) or self.busy or self.ballot is None or value is None:
+            if (
+                len(ready) < majority(len(group))
+                or self.busy
+                or self.ballot is None
+                or value is None
+            ):
                 return
             self.settled_names.add((name, version))
             if not self.settle_planned:
                 self.settle_planned = True
                 self.context.after(self.call_ms / 4.0, self.settle_all)
+
         for peer in group:
-            self.board.call(peer, wire.SESSION_READY, [name, version], self.call_ms,
-                            lambda answer, failure, peer=peer: answered(peer, answer, failure))
+            self.board.call(
+                peer,
+                wire.SESSION_READY,
+                [name, version],
+                self.call_ms,
+                lambda answer, failure, peer=peer: answered(peer, answer, failure),
+            )
 
     def settle_all(self):
         self.settle_planned = False
         value = self.chosen
         if self.busy or self.ballot is None or value is None:
             return
-        after = {name: (row[0], row[1], () if (name, row[0]) in self.settled_names else row[2])
-                 for name, row in value.sessions.items()}
+        after = {
+            name: (row[0], row[1], () if (name, row[0]) in self.settled_names else row[2])
+            for name, row in value.sessions.items()
+        }
         if after != value.sessions:
             self.settled_names.clear()
             self.busy = True
             self.accept(value, value.after(sessions=after), lambda chosen: self.pump())
 
     def publish(self, value):
-        """Brings a chosen value to one registry of each region, which passes it on in its region."""
+        """Brings a chosen value to one registry of each region, which passes it on in its
+        region.
+        """
         regions = {}
         for member in self.membership.members("registry"):
             if self.membership.reachable(member.address):
                 regions.setdefault(member.region, []).append(member)
         for members in regions.values():
             members.sort(key=lambda member: member.machine != self.membership.me.machine)
-            self.board.cast(members[0].address, wire.CHOSEN, [value.packed, [m.address for m in members[1:]]])
+            self.board.cast(
+                members[0].address, wire.CHOSEN, [value.packed, [m.address for m in members[1:]]]
+            )
         for address in self.peers:
             if address not in self.membership.state.members:
                 self.board.cast(address, wire.CHOSEN, [value.packed, []])
@@ -529,7 +705,10 @@
         """The address of the store that is thought to own the duty, or None."""
         if self.ballot is not None:
             return self.board.address
-        if self.context.now_ms() - self.owner_heard_ms < self.beat_ms * 2.2 and self.owner_ballot > NO_BALLOT:
+        if (
+            self.context.now_ms() - self.owner_heard_ms < self.beat_ms * 2.2
+            and self.owner_ballot > NO_BALLOT
+        ):
             return self.owner_ballot[1].partition("#")[0]
         return None
 
@@ -572,7 +751,9 @@
         self.elect()
 
     def find_owner(self, waiting):
-        """A store that has heard no owner since its start asks the group for one before it stands itself."""
+        """A store that has heard no owner since its start asks the group for one before it stands
+        itself.
+        """
         others = [address for address in self.group() if address != self.board.address]
         silent = set(others)
 
@@ -586,6 +767,7 @@
             if not silent:
                 self.queue.append(waiting)
                 self.pump()
+
         self.ask_all(others, wire.WHO_OWNS, [], self.call_ms * 0.3, heard)
         if not others:
             self.queue.append(waiting)
@@ -600,7 +782,12 @@
             if failure is None and answer is not None and answer[0] != 503:
                 waiting.reply(answer)
                 return
-            if self.in_group() and not self.wiped and self.loaded and waiting.expires_ms > self.context.now_ms():
+            if (
+                self.in_group()
+                and not self.wiped
+                and self.loaded
+                and waiting.expires_ms > self.context.now_ms()
+            ):
                 silent_ms = self.context.now_ms() - self.owner_heard_ms
                 if failure == "no answer in time" and silent_ms < self.beat_ms * 1.3:
                     waiting.reply([503, "the owner is slow"])
@@ -612,8 +799,12 @@
                 self.context.after(self.call_ms, self.expire)
             else:
                 waiting.reply([503, "the owner can't be reached"])
-        kind, body = ((wire.READ_VALUE, [True]) if waiting.order == "value"
-                      else (wire.ORDER, [waiting.order, waiting.payload, True]))
+
+        kind, body = (
+            (wire.READ_VALUE, [True])
+            if waiting.order == "value"
+            else (wire.ORDER, [waiting.order, waiting.payload, True])
+        )
         self.board.call(owner, self.kinds + kind, body, self.call_ms * 0.8, answered)
 
     def expire(self):
@@ -670,34 +861,52 @@
         def accepted(chosen):
             if chosen and narrowed:
                 self.narrowed_ms = self.context.now_ms()
-            if chosen and (waiting.order in (OFFER, WITHDRAW) or waiting.order == MOVE_ROLLOUT and narrowed):
+            if chosen and (
+                waiting.order in (OFFER, WITHDRAW) or waiting.order == MOVE_ROLLOUT and narrowed
+            ):
                 waiting.reply([outcome.status, outcome.text, self.leases_left_ms()])
             elif chosen:
                 waiting.reply([outcome.status, outcome.text])
             else:
                 waiting.reply([503, "outcome unknown"])
             self.pump()
+
         self.accept(value, outcome.value, accepted)
 
     def is_narrower(self, order, before, after):
         """True where an order takes something away that proxies may hold a lease on."""
         if order in (OFFER, WITHDRAW):
             from stagevale.partners.checking import narrows
+
             return narrows(before, after)
         if order in (START_ROLLOUT, MOVE_ROLLOUT):
             from stagevale.rollouts.checking import withdraws
+
             return withdraws(before, after)
         return False
 
     def leases_left_ms(self):
-        """How long a lease may still stand that is older than the newest withdrawal: an owner that wasn't there when it
-        was chosen counts from its own beginning."""
+        """How long a lease may still stand that is older than the newest withdrawal: an owner that
+        wasn't there when it was chosen counts from its own beginning.
+        """
         from stagevale.leases import wait_ms
-        return int(max(0.0, self.narrowed_ms + wait_ms(self.context.settings.bounds) - self.context.now_ms())) + 1
+
+        return (
+            int(
+                max(
+                    0.0,
+                    self.narrowed_ms
+                    + wait_ms(self.context.settings.bounds)
+                    - self.context.now_ms(),
+                )
+            )
+            + 1
+        )
 
     def answer_serials(self, first):
-        """Proxies' questions for leases come from every registry all the time: all that wait are answered by one
-        confirmation, since each was asked before it began."""
+        """Proxies' questions for leases come from every registry all the time: all that wait are
+        answered by one confirmation, since each was asked before it began.
+        """
         waiting = [first] + [each for each in self.queue if each.order == SERIAL]
         self.queue = [each for each in self.queue if each.order != SERIAL]
         for each in waiting:
@@ -710,6 +919,7 @@
         """The judgement of rollouts; made with the first rollout."""
         if self.judge is None:
             from stagevale.rollouts.judging import Judge
+
             self.judge = Judge(self.context.settings.bounds, self.context.settings.tolerance)
         return self.judge
 
@@ -720,6 +930,7 @@
         if self.ballot is None or value is None:
             return False
         from stagevale.rollouts.judging import tend
+
         proxies = [member.address for member in self.membership.members("proxy", (UP,))]
         tended = tend(self.judge_of(), value, proxies, self.context.now_ms())
         if tended is None:
@@ -730,25 +941,41 @@
             if chosen and withdrawn:
                 self.narrowed_ms = self.context.now_ms()
             self.pump()
-        self.context.log.info("%s: rollouts: %s.", self.prefix, ", ".join(
-            f"{service} is {json.loads(text)['state']} at step {json.loads(text)['step'] + 1}"
-            for service, text in after.rollouts.items() if text != value.rollouts.get(service)))
+
+        self.context.log.info(
+            "%s: rollouts: %s.",
+            self.prefix,
+            ", ".join(
+                f"{service} is {json.loads(text)['state']} at step {json.loads(text)['step'] + 1}"
+                for service, text in after.rollouts.items()
+                if text != value.rollouts.get(service)
+            ),
+        )
         self.busy = True
         self.accept(value, after, accepted)
         return True
 
     def rollouts_shown(self):
-        """All rollouts, their step's outcomes, and for how long leases on what was withdrawn may still stand."""
+        """All rollouts, their step's outcomes, and for how long leases on what was withdrawn may
+        still stand.
+        """
         from stagevale.rollouts import ENDED, FALLEN, Rollout
+
         rows = []
         for service in sorted(self.chosen.rollouts):
             rollout = Rollout(json.loads(self.chosen.rollouts[service]))
             if rollout.state == ENDED:
                 continue
             left_ms = self.leases_left_ms() - 1 if rollout.state == FALLEN else 0
-            rows.append({**rollout.row(), "share": rollout.share, "leasesLeftMs": left_ms,
-                         "shown": "falling back" if left_ms > 0 else rollout.state,
-                         "outcomes": self.judge_of().show(rollout)})
+            rows.append(
+                {
+                    **rollout.row(),
+                    "share": rollout.share,
+                    "leasesLeftMs": left_ms,
+                    "shown": "falling back" if left_ms > 0 else rollout.state,
+                    "outcomes": self.judge_of().show(rollout),
+                }
+            )
         return json.dumps({"rollouts": rows})
 
     def finish(self, waiting, answer):
@@ -761,11 +988,14 @@
             for each in waiting:
                 each.reply(answer if stands else [503, "not confirmed"])
             self.pump()
+
         self.confirm(confirmed)
 
     def catch_up(self):
         """A store without its disk learns from a majority of the others before it votes again."""
-        known = {member.address for member in self.membership.members(self.program)} | set(self.seed_stores)
+        known = {member.address for member in self.membership.members(self.program)} | set(
+            self.seed_stores
+        )
         known.discard(self.board.address)
         answers = {}
 
@@ -773,7 +1003,13 @@
             if failure is not None or not self.wiped or not answer[0]:
                 return
             answers[peer] = answer
-            newest = max(answers.values(), key=lambda got: (as_ballot(got[2]), self.read_value(got[3]).serial if got[3] else -1))
+            newest = max(
+                answers.values(),
+                key=lambda got: (
+                    as_ballot(got[2]),
+                    self.read_value(got[3]).serial if got[3] else -1,
+                ),
+            )
             value = self.read_value(newest[3]) if newest[3] else None
             group = value.group if value else self.seed_stores
             if sum(1 for member in group if member in answers) < majority(len(group)):
@@ -783,9 +1019,13 @@
             self.accepted_ballot = as_ballot(newest[2])
             self.accepted = value
             self.highest_round = max(self.highest_round, self.promised[0])
-            self.context.log.info("%s: learned version %d from a majority; voting again.", self.prefix,
-                                  value.serial if value else 0)
+            self.context.log.info(
+                "%s: learned version %d from a majority; voting again.",
+                self.prefix,
+                value.serial if value else 0,
+            )
             self.save(lambda done: None)
+
         self.ask_all(known, wire.LEARN, [], self.call_ms, learned)
 
     def hand_over(self):
--- a/stagevale/configuration/orders.py
+++ b/stagevale/configuration/orders.py
@@ -1,4 +1,5 @@
 """What each order of the operator does to the register's value."""
+
 from stagevale.configuration.checking import ConfigFailure, fingerprint, read_config
 
 REPLACE, EVACUATE, TAKE_BACK, READ = "replace", "evacuate", "takeBack", "read"
@@ -7,7 +8,9 @@
 
 
 class Outcome:
-    """What an order comes to: an HTTP status and text, and the next value where there is a change."""
+    """What an order comes to: an HTTP status and text, and the next value where there is a
+    change.
+    """
 
     __slots__ = ("status", "text", "value")
 
@@ -28,17 +31,25 @@
     if order == TAKE_BACK:
         if payload not in value.evacuated:
             return Outcome(200)
-        return Outcome(200, value=value.after(evacuated=tuple(z for z in value.evacuated if z != payload)))
+        return Outcome(
+            200, value=value.after(evacuated=tuple(z for z in value.evacuated if z != payload))
+        )
     if order == SERIAL:
         return Outcome(200, str(value.serial))
     if order in (OFFER, WITHDRAW, READ_OFFER):
         from stagevale.partners import checking
+
         if order == OFFER:
             return checking.offered(value, payload, zones, Outcome)
-        return (checking.withdrawn if order == WITHDRAW else checking.read_back)(value, payload, Outcome)
+        return (checking.withdrawn if order == WITHDRAW else checking.read_back)(
+            value, payload, Outcome
+        )
     if order in (START_ROLLOUT, MOVE_ROLLOUT):
         from stagevale.rollouts import checking
-        return (checking.started if order == START_ROLLOUT else checking.moved)(value, payload, Outcome)
+
+        return (checking.started if order == START_ROLLOUT else checking.moved)(
+            value, payload, Outcome
+        )
     if order == REPLACE:
         checked = read_config(payload, frozenset(zones.values()))
         if checked.is_error():
@@ -52,6 +63,10 @@
             return Outcome(412, f"version r{value.version} is in place")
         if version <= value.version:
             return Outcome(400, f"version r{version} is not above r{value.version}")
-        return Outcome(200, value=value.after(version=version, config=payload,
-                                              taken={**value.taken, str(version): hashed}))
+        return Outcome(
+            200,
+            value=value.after(
+                version=version, config=payload, taken={**value.taken, str(version): hashed}
+            ),
+        )
     return Outcome(404, f"unknown order {order}")
--- a/stagevale/context/__init__.py
+++ b/stagevale/context/__init__.py
@@ -1,4 +1,7 @@
-"""The one object that is passed about in place of globals: clock, loop, random, logger, settings."""
+"""The one object that is passed about in place of globals: clock, loop, random, logger,
+settings.
+"""
+
 import asyncio
 import queue
 import random
@@ -38,7 +41,9 @@
         self.loop.call_soon(call, *args)
 
     def connect(self, address, protocol, failed, timeout_ms, silence_ms):
-        """Opens a connection to (ip, port) for `protocol`; `failed(failure)` is called where that doesn't come about."""
+        """Opens a connection to (ip, port) for `protocol`; `failed(failure)` is called where that
+        doesn't come about.
+        """
         task = self.loop.create_task(self.open(address, protocol, timeout_ms, silence_ms))
         self.tasks.add(task)
 
@@ -48,6 +53,7 @@
                 failed(OSError("cancelled"))
             elif done.exception() is not None:
                 failed(done.exception())
+
         task.add_done_callback(finished)
         return task
 
@@ -64,6 +70,7 @@
 
     def listen(self, address, factory, ready=None):
         """Listens at (ip, port); each new connection gets the protocol that `factory()` makes."""
+
         async def start():
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -72,11 +79,14 @@
             server = await self.loop.create_server(factory, sock=sock, backlog=512)
             if ready:
                 ready(server)
+
         return self.loop.create_task(start())
 
     def datagrams(self, address, protocol):
         """Binds `protocol` to datagrams at (ip, port)."""
-        return self.loop.create_task(self.loop.create_datagram_endpoint(lambda: protocol, local_addr=address))
+        return self.loop.create_task(
+            self.loop.create_datagram_endpoint(lambda: protocol, local_addr=address)
+        )
 
     def disk(self, work, done):
         """Runs `work()` on the one disk thread, then `done(result, failure)` on the loop."""
@@ -102,11 +112,12 @@
     """Makes a connection notice within `silence_ms` that its other end is gone."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     for level, option, value in (
-            (socket.IPPROTO_TCP, getattr(socket, "TCP_USER_TIMEOUT", 18), int(silence_ms)),
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, int(silence_ms / 2000))),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)):
+        (socket.IPPROTO_TCP, getattr(socket, "TCP_USER_TIMEOUT", 18), int(silence_ms)),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, int(silence_ms / 2000))),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    ):
         try:
             sock.setsockopt(level, option, value)
         except OSError:
--- a/stagevale/duties/counts.py
+++ b/stagevale/duties/counts.py
@@ -1,4 +1,7 @@
-"""Counts of requests per tenant and window: cumulative per life of a proxy, so that no word counts twice."""
+"""Counts of requests per tenant and window: cumulative per life of a proxy, so that no word counts
+twice.
+"""
+
 import json
 import zlib
 
@@ -6,7 +9,9 @@
 
 
 class WindowCounts:
-    """A proxy's own counts. Windows are of the core's agreed time, never of this machine's clock."""
+    """A proxy's own counts. Windows are of the core's agreed time, never of this machine's
+    clock.
+    """
 
     __slots__ = ("window_ms", "offset_ms", "counts", "changed")
 
@@ -28,7 +33,9 @@
         return now_ms + self.offset_ms if self.offset_ms is not None else 0.0
 
     def began(self, tenant, now_ms):
-        """Counts a request that an endpoint begins now; returns its window, or None before the time is known."""
+        """Counts a request that an endpoint begins now; returns its window, or None before the time
+        is known.
+        """
         if self.offset_ms is None:
             return None
         window = int((now_ms + self.offset_ms) // self.window_ms)
@@ -50,10 +57,14 @@
         self.changed.add(window)
 
     def rows(self, everything):
-        """The windows to tell a feeder, each whole: those changed since the last time, or all that are kept."""
+        """The windows to tell a feeder, each whole: those changed since the last time, or all that
+        are kept.
+        """
         windows = sorted(self.counts) if everything else sorted(self.changed & self.counts.keys())
         self.changed.clear()
-        return [[window, json.dumps(self.counts[window], separators=(",", ":"))] for window in windows]
+        return [
+            [window, json.dumps(self.counts[window], separators=(",", ":"))] for window in windows
+        ]
 
 
 class Told:
@@ -87,7 +98,9 @@
         told.upto_ms = max(told.upto_ms, upto_ms)
         for window, text in rows:
             counts = json.loads(text)
-            if not isinstance(counts, dict) or not all(isinstance(number, int) for number in counts.values()):
+            if not isinstance(counts, dict) or not all(
+                isinstance(number, int) for number in counts.values()
+            ):
                 raise ValueError("counts")
             told.windows[window] = counts
         newest = max(told.windows, default=0)
@@ -95,21 +108,41 @@
             del told.windows[old]
         if len(self.told) > 16:
             latest_ms = max(other.upto_ms for other in self.told.values())
-            self.told = {kept: other for kept, other in self.told.items()
-                         if other.upto_ms > latest_ms - WINDOWS_KEPT * self.window_ms}
+            self.told = {
+                kept: other
+                for kept, other in self.told.items()
+                if other.upto_ms > latest_ms - WINDOWS_KEPT * self.window_ms
+            }
 
     def answer(self, window, whole):
-        """For the duty's holder: oldest window known, whether all proxies fed here have told all of the window,
-        which proxies are in the sum, and the sum, or the counts proxy by proxy."""
+        """For the duty's holder: oldest window known, whether all proxies fed here have told all of
+        the window, which proxies are in the sum, and the sum, or the counts proxy by proxy.
+        """
         if window == 0:
-            return [min((kept for told in self.told.values() for kept in told.windows), default=0), 1, [], "{}"]
+            return [
+                min((kept for told in self.told.values() for kept in told.windows), default=0),
+                1,
+                [],
+                "{}",
+            ]
         end_ms = (window + 1) * self.window_ms
-        here = {key: told for key, told in self.told.items() if window in told.windows or told.upto_ms >= end_ms}
+        here = {
+            key: told
+            for key, told in self.told.items()
+            if window in told.windows or told.upto_ms >= end_ms
+        }
         ended = {told.address for told in self.told.values() if told.upto_ms >= end_ms}
         complete = all(address in ended for address in self.attached())
         if whole:
-            return [0, int(complete), [], [[key, told.upto_ms, json.dumps(told.windows.get(window, {}))]
-                                           for key, told in here.items()]]
+            return [
+                0,
+                int(complete),
+                [],
+                [
+                    [key, told.upto_ms, json.dumps(told.windows.get(window, {}))]
+                    for key, told in here.items()
+                ],
+            ]
         total = {}
         for told in here.values():
             for tenant, number in told.windows.get(window, {}).items():
--- a/stagevale/duties/platform.py
+++ b/stagevale/duties/platform.py
@@ -1,14 +1,33 @@
-"""One call to the platform: its own connection, its own timer, and a last check before the first byte."""
+"""One call to the platform: its own connection, its own timer, and a last check before the first
+byte.
+"""
+
 import asyncio
 
 import h11
 
 
 class PlatformCall(asyncio.Protocol):
-    """Sends one report. The duty is confirmed after the connection is open and right before anything is written."""
+    """Sends one report. The duty is confirmed after the connection is open and right before
+    anything is written.
+    """
 
-    __slots__ = ("context", "path", "text", "holder", "fence", "check", "wrote", "done", "deadline_ms", "transport",
-                 "parser", "status", "over", "timer")
+    __slots__ = (
+        "context",
+        "path",
+        "text",
+        "holder",
+        "fence",
+        "check",
+        "wrote",
+        "done",
+        "deadline_ms",
+        "transport",
+        "parser",
+        "status",
+        "over",
+        "timer",
+    )
 
     def __init__(self, context, path, text, holder, fence, check, wrote, done, deadline_ms):
         self.context = context
@@ -29,9 +48,13 @@
     def open(self):
         """Opens the connection; `done(status, failure)` is called exactly once."""
         self.timer = self.context.after(self.deadline_ms, self.finish, None, "no answer in time")
-        self.context.connect(self.context.settings.platform, self,
-                             lambda failure: self.finish(None, f"no connection to the platform: {failure!r}"),
-                             self.deadline_ms / 2.0, self.deadline_ms)
+        self.context.connect(
+            self.context.settings.platform,
+            self,
+            lambda failure: self.finish(None, f"no connection to the platform: {failure!r}"),
+            self.deadline_ms / 2.0,
+            self.deadline_ms,
+        )
 
     def finish(self, status, failure):
         if self.over:
@@ -55,11 +78,24 @@
             return
         body = self.text.encode()
         address = self.context.settings.platform
-        out = self.parser.send(h11.Request(method="POST", target=self.path, headers=[
-            ("Host", f"{address[0]}:{address[1]}"), ("Duty-Holder", self.holder), ("Fence", str(self.fence)),
-            ("Content-Type", "application/json"), ("Content-Length", str(len(body))), ("Connection", "close")]))
+        out = self.parser.send(
+            h11.Request(
+                method="POST",
+                target=self.path,
+                headers=[
+                    ("Host", f"{address[0]}:{address[1]}"),
+                    ("Duty-Holder", self.holder),
+                    ("Fence", str(self.fence)),
+                    ("Content-Type", "application/json"),
+                    ("Content-Length", str(len(body))),
+                    ("Connection", "close"),
+                ],
+            )
+        )
         self.wrote()
-        self.transport.write(out + self.parser.send(h11.Data(data=body)) + self.parser.send(h11.EndOfMessage()))
+        self.transport.write(
+            out + self.parser.send(h11.Data(data=body)) + self.parser.send(h11.EndOfMessage())
+        )
 
     def data_received(self, data):
         try:
--- a/stagevale/duties/true_time.py
+++ b/stagevale/duties/true_time.py
@@ -20,10 +20,14 @@
         self.offsets[peer] = (wall_ms - now_ms, now_ms)
 
     def now(self):
-        """The agreed time in milliseconds; None until a majority of the core's clocks has been heard."""
+        """The agreed time in milliseconds; None until a majority of the core's clocks has been
+        heard.
+        """
         now_ms = self.context.now_ms()
         horizon_ms = now_ms - self.context.settings.bounds.contact_ms / 4.0 * HEARD_ROUNDS
-        offsets = [offset_ms for offset_ms, heard_ms in self.offsets.values() if heard_ms > horizon_ms]
+        offsets = [
+            offset_ms for offset_ms, heard_ms in self.offsets.values() if heard_ms > horizon_ms
+        ]
         offsets.append(self.context.wall_ms() - now_ms)
         if len(offsets) * 2 > self.size():
             offsets.sort()
--- a/stagevale/forwarding/__init__.py
+++ b/stagevale/forwarding/__init__.py
@@ -1,4 +1,5 @@
 """The way of a request: read, routed, offered to an endpoint, answered."""
+
 from stagevale.affinity import ANSWERED, FREE, UNKNOWN
 from stagevale.balancing import Chooser
 from stagevale.balancing.budget import Budget
@@ -14,10 +15,45 @@
 class Request:
     """One request of a client, from its last byte until its answer."""
 
-    __slots__ = ("connection", "parser", "method", "target", "host", "path", "headers", "body", "attempt_id", "client_wait_ms",
-                 "start_ms", "deadline_ms", "route", "service", "tries", "tried", "answer", "closes", "begun", "carriers",
-                 "timer", "offered", "sent_ms", "was_queued", "expected_ms", "ran", "credentials", "tenant", "priority",
-                 "homes", "checked_for", "window", "session", "note", "prefers", "whole", "held_ms")
+    __slots__ = (
+        "connection",
+        "parser",
+        "method",
+        "target",
+        "host",
+        "path",
+        "headers",
+        "body",
+        "attempt_id",
+        "client_wait_ms",
+        "start_ms",
+        "deadline_ms",
+        "route",
+        "service",
+        "tries",
+        "tried",
+        "answer",
+        "closes",
+        "begun",
+        "carriers",
+        "timer",
+        "offered",
+        "sent_ms",
+        "was_queued",
+        "expected_ms",
+        "ran",
+        "credentials",
+        "tenant",
+        "priority",
+        "homes",
+        "checked_for",
+        "window",
+        "session",
+        "note",
+        "prefers",
+        "whole",
+        "held_ms",
+    )
 
     def __init__(self, connection, parser, head, body, start_ms):
         self.connection = connection
@@ -58,16 +94,33 @@
         self.held_ms = 0.0
 
     def split_key(self):
-        """What a rollout's share is drawn by: the session where there is one, else the try's own id."""
+        """What a rollout's share is drawn by: the session where there is one, else the try's own
+        id.
+        """
         return self.session.encode("latin-1") if self.session else self.attempt_id or b""
 
 
 class Forwarder:
     """Carries requests between clients' connections and endpoints' connections."""
 
-    __slots__ = ("context", "snapshot", "chooser", "budgets", "waiting", "connections", "leaving", "running",
-                 "hop_headers", "make_connection", "born_ms", "flows", "counts", "lease", "holdings",
-                 "outcomes")
+    __slots__ = (
+        "context",
+        "snapshot",
+        "chooser",
+        "budgets",
+        "waiting",
+        "connections",
+        "leaving",
+        "running",
+        "hop_headers",
+        "make_connection",
+        "born_ms",
+        "flows",
+        "counts",
+        "lease",
+        "holdings",
+        "outcomes",
+    )
 
     def __init__(self, context, address, make_connection, hop_headers):
         self.context = context
@@ -110,7 +163,11 @@
             if lower not in self.hop_headers and lower not in named:
                 kept.append((name, value))
         request.headers = kept
-        request.host = host.decode("latin-1").rpartition(":")[0].lower() if b":" in host else host.decode("latin-1").lower()
+        request.host = (
+            host.decode("latin-1").rpartition(":")[0].lower()
+            if b":" in host
+            else host.decode("latin-1").lower()
+        )
         request.path = request.target.decode("latin-1").partition("?")[0]
         snapshot = self.snapshot
         if not request.path.startswith("/"):
@@ -137,19 +194,27 @@
             if wrong:
                 self.own(request, 400, wrong)
                 return
-        wait_ms = request.route.timeout_ms if request.client_wait_ms is None else min(request.client_wait_ms, request.route.timeout_ms)
+        wait_ms = (
+            request.route.timeout_ms
+            if request.client_wait_ms is None
+            else min(request.client_wait_ms, request.route.timeout_ms)
+        )
         request.deadline_ms = request.start_ms + wait_ms
         self.budget(request.service).note(request.start_ms)
 
     def admit(self, request, snapshot):
-        """Finds the tenant whose key the request bears; the key is withheld and `Tenant` set. False without a needed key."""
+        """Finds the tenant whose key the request bears; the key is withheld and `Tenant` set. False
+        without a needed key.
+        """
         request.checked_for = snapshot.serial
         route = request.route
         request.priority, request.homes = route.priority, (route.homes,) if route.homes else ()
         if snapshot.keys is None:
             return True
         tenant = request.tenant = snapshot.keys.tenant(request.credentials)
-        request.headers = [row for row in request.headers if row[0].lower() not in (b"authorization", b"tenant")]
+        request.headers = [
+            row for row in request.headers if row[0].lower() not in (b"authorization", b"tenant")
+        ]
         if tenant is None:
             return route.public
         request.headers.append((b"Tenant", tenant.header))
@@ -160,20 +225,39 @@
         return True
 
     def partner_route(self, request, snapshot):
-        """The partner's route for a request: what partners decline to pass on depends on where it came and whose it is."""
+        """The partner's route for a request: what partners decline to pass on depends on where it
+        came and whose it is.
+        """
         settings = self.context.settings
         tenant = snapshot.keys.tenant(request.credentials) if snapshot.keys is not None else None
-        return snapshot.partner_route(request.host, request.path, settings.zone, settings.region, tenant.name if tenant else "")
+        return snapshot.partner_route(
+            request.host,
+            request.path,
+            settings.zone,
+            settings.region,
+            tenant.name if tenant else "",
+        )
 
     def may_offer(self, request):
-        """Looks again, at the moment of offering, whether a request may still go where it is about to go."""
+        """Looks again, at the moment of offering, whether a request may still go where it is about
+        to go.
+        """
         snapshot = self.snapshot
         if request.route.partner is not None:
             if request.checked_for != snapshot.serial:
-                route = snapshot.route(request.host, request.path) or self.partner_route(request, snapshot)
-                if route is None or route.partner is None or (route.partner.partner, route.partner.prefix) != \
-                        (request.route.partner.partner, request.route.partner.prefix) or request.service not in route.partner.services:
-                    self.own(request, 502 if request.ran else 404, "the partner's route was withheld")
+                route = snapshot.route(request.host, request.path) or self.partner_route(
+                    request, snapshot
+                )
+                if (
+                    route is None
+                    or route.partner is None
+                    or (route.partner.partner, route.partner.prefix)
+                    != (request.route.partner.partner, request.route.partner.prefix)
+                    or request.service not in route.partner.services
+                ):
+                    self.own(
+                        request, 502 if request.ran else 404, "the partner's route was withheld"
+                    )
                     return False
                 request.route = route
             if not self.lease.holds(self.context.now_ms()):
@@ -185,19 +269,27 @@
         return True
 
     def may_use(self, target):
-        """Looks again, at the moment of writing, whether the endpoint's software version may still be used."""
+        """Looks again, at the moment of writing, whether the endpoint's software version may still
+        be used.
+        """
         return self.chooser.may_use(target, self.snapshot, self.context.now_ms())
 
     def tally(self, request, target, failed):
         """Counts what became of a request at an endpoint, for a rollout and for steering."""
         if failed and self.chooser.steering is not None and request.sent_ms:
             now_ms = self.context.now_ms()
-            self.chooser.steering.failed(target.service, target.region, self.chooser.work_ms(request.route),
-                                         now_ms - request.sent_ms, now_ms)
+            self.chooser.steering.failed(
+                target.service,
+                target.region,
+                self.chooser.work_ms(request.route),
+                now_ms - request.sent_ms,
+                now_ms,
+            )
         rollout = self.snapshot.rollouts.get(target.service) if self.snapshot.rollouts else None
         if rollout is not None:
             if self.outcomes is None:
                 from stagevale.rollouts import Outcomes
+
                 self.outcomes = Outcomes()
             late = self.context.now_ms() - request.start_ms > request.route.target_ms
             self.outcomes.count(rollout, target.software, target.zone, failed, late)
@@ -212,22 +304,32 @@
         """Starts a request that has been read: a timer for its deadline, then the first offer."""
         request.begun = True
         self.running += 1
-        request.timer = self.context.after(max(1.0, request.deadline_ms - self.context.now_ms()), self.cut_off, request)
+        request.timer = self.context.after(
+            max(1.0, request.deadline_ms - self.context.now_ms()), self.cut_off, request
+        )
         if request.note is not None:
             self.holdings.carry(request)
         else:
             self.offer(request)
 
     def offer(self, request):
-        """Sends a request to the best endpoint, has it wait for one, or refuses it while refusing still is early."""
+        """Sends a request to the best endpoint, has it wait for one, or refuses it while refusing
+        still is early.
+        """
         now_ms = self.context.now_ms()
         if not self.may_offer(request):
             return
         target = self.chooser.choose(request, self.snapshot, now_ms)
-        if target is not None and now_ms + request.expected_ms * 0.5 > request.deadline_ms and not request.offered:
+        if (
+            target is not None
+            and now_ms + request.expected_ms * 0.5 > request.deadline_ms
+            and not request.offered
+        ):
             target = None
         if target is None:
-            patience_ms = request.start_ms + request.held_ms + request.route.target_ms * REFUSE_SHARE - now_ms
+            patience_ms = (
+                request.start_ms + request.held_ms + request.route.target_ms * REFUSE_SHARE - now_ms
+            )
             if patience_ms <= 0 or request.tries > 0:
                 self.give_back(request, "no endpoint can take it")
                 return
@@ -256,10 +358,18 @@
             connection.open(request)
 
     def hedge(self, request, target, sent_ms):
-        """A repeatable request whose endpoint has been silent for long is sent to a second one beside it."""
+        """A repeatable request whose endpoint has been silent for long is sent to a second one
+        beside it.
+        """
         now_ms = self.context.now_ms()
-        if (request.answer is not None or not request.carriers or request.tries >= request.route.max_attempts
-                or target.answered_ms > sent_ms or request.route.partner is not None or now_ms + self.chooser.work_ms(request.route) * 0.7 > request.deadline_ms):
+        if (
+            request.answer is not None
+            or not request.carriers
+            or request.tries >= request.route.max_attempts
+            or target.answered_ms > sent_ms
+            or request.route.partner is not None
+            or now_ms + self.chooser.work_ms(request.route) * 0.7 > request.deadline_ms
+        ):
             return
         if not self.budget(request.service).allows(now_ms, len(self.snapshot.proxies)):
             return
@@ -291,8 +401,15 @@
     def sent(self, request, target):
         """The request's bytes go out now."""
         request.sent_ms = self.context.now_ms()
-        if self.counts is not None and request.tenant is not None and request.window is None and not request.route.cacheable:
-            request.window = self.counts.began(request.tenant.name, request.sent_ms + self.chooser.way_ms(target))
+        if (
+            self.counts is not None
+            and request.tenant is not None
+            and request.window is None
+            and not request.route.cacheable
+        ):
+            request.window = self.counts.began(
+                request.tenant.name, request.sent_ms + self.chooser.way_ms(target)
+            )
         flow = self.flows.setdefault((request.route.name, request.service), {})
         if request.tries > 1:
             self.budget(request.service).spend(request.sent_ms)
@@ -300,12 +417,16 @@
         else:
             flow[target.zone] = flow.get(target.zone, 0) + 1
             if request.route.pure and request.route.max_attempts > 1:
-                wait_ms = max(request.expected_ms * HEDGE_EXPECTED, request.route.target_ms * HEDGE_SHARE)
+                wait_ms = max(
+                    request.expected_ms * HEDGE_EXPECTED, request.route.target_ms * HEDGE_SHARE
+                )
                 self.context.after(wait_ms, self.hedge, request, target, request.sent_ms)
 
     def release(self, request, target):
         target.gave(self.context.now_ms())
-        request.carriers = [connection for connection in request.carriers if connection.target is not target]
+        request.carriers = [
+            connection for connection in request.carriers if connection.target is not target
+        ]
         self.context.soon(self.pump, target.service)
 
     def unoffered(self, request, target):
@@ -319,8 +440,12 @@
         if failure is not None:
             self.tally(request, target, True)
             service = self.snapshot.services.get(target.service)
-            target.failed(now_ms, self.context.settings.bounds.contact_ms / 8.0,
-                          service.warmup_ms if service else 0, True)
+            target.failed(
+                now_ms,
+                self.context.settings.bounds.contact_ms / 8.0,
+                service.warmup_ms if service else 0,
+                True,
+            )
         request.tries -= 1
         request.tried += (target.id,)
         if request.answer is not None or request.carriers:
@@ -350,7 +475,10 @@
     def again(self, request, target, now_ms):
         """Offers a request once more, where its route, the budget and its time allow."""
         request.tried += (target.id,)
-        if request.tries >= request.route.max_attempts or now_ms + self.chooser.work_ms(request.route) * 0.5 > request.deadline_ms:
+        if (
+            request.tries >= request.route.max_attempts
+            or now_ms + self.chooser.work_ms(request.route) * 0.5 > request.deadline_ms
+        ):
             return False
         if not self.budget(request.service).allows(now_ms, len(self.snapshot.proxies)):
             return False
@@ -374,7 +502,9 @@
             if not_run or b"server-seal" not in answer.fields and 200 <= status < 300:
                 self.unheard(request, FREE if not_run else UNKNOWN)
             else:
-                self.unheard(request, ANSWERED, (status, answer.reason, answer.headers, answer.body))
+                self.unheard(
+                    request, ANSWERED, (status, answer.reason, answer.headers, answer.body)
+                )
             return
         target.answered_ms = now_ms
         if request.carriers and (not_run or status >= 500):
@@ -396,7 +526,11 @@
             self.give_back(request, "endpoints turned it away")
             return
         request.ran = True
-        self.tally(request, target, status >= 500 or 200 <= status < 300 and b"server-seal" not in answer.fields)
+        self.tally(
+            request,
+            target,
+            status >= 500 or 200 <= status < 300 and b"server-seal" not in answer.fields,
+        )
         if 200 <= status < 300:
             if b"server-seal" not in answer.fields or b"content-encoding" in answer.fields:
                 target.failed(now_ms, 0, 0, False)
@@ -412,8 +546,14 @@
             if self.counts is not None and request.tenant is not None and request.route.cacheable:
                 self.counts.began(request.tenant.name, now_ms)
             if self.chooser.steering is not None:
-                self.chooser.steering.answered(target.service, target.region, self.chooser.work_ms(request.route),
-                                               now_ms - request.sent_ms, request.expected_ms, now_ms)
+                self.chooser.steering.answered(
+                    target.service,
+                    target.region,
+                    self.chooser.work_ms(request.route),
+                    now_ms - request.sent_ms,
+                    request.expected_ms,
+                    now_ms,
+                )
             self.chooser.learn(request.route, target, now_ms - request.sent_ms, request.was_queued)
             self.chooser.weigh(request.route, len(request.body) + len(answer.body))
         elif status >= 500 and request.route.pure and self.again(request, target, now_ms):
@@ -425,15 +565,28 @@
         self.finish(request, (status, answer.reason, answer.headers, answer.body))
 
     def take_flows(self):
-        """What went where since the last call: rows of route, service, kind, work, bytes and counts by zone."""
+        """What went where since the last call: rows of route, service, kind, work, bytes and counts
+        by zone.
+        """
         flows, self.flows = self.flows, {}
         routes = {route.name: route for rows in self.snapshot.hosts.values() for _, route in rows}
-        return [[name, service, routes[name].pure, int(self.chooser.work_ms(routes[name])),
-                 int(self.chooser.bytes.get(name, 0)), counts]
-                for (name, service), counts in flows.items() if name in routes]
+        return [
+            [
+                name,
+                service,
+                routes[name].pure,
+                int(self.chooser.work_ms(routes[name])),
+                int(self.chooser.bytes.get(name, 0)),
+                counts,
+            ]
+            for (name, service), counts in flows.items()
+            if name in routes
+        ]
 
     def give_back(self, request, why):
-        """Ends a request that no endpoint has run: the promise of a 503, or 502 where it may have run."""
+        """Ends a request that no endpoint has run: the promise of a 503, or 502 where it may have
+        run.
+        """
         if request.ran:
             self.own(request, 502, why)
         else:
@@ -445,7 +598,11 @@
         if request.attempt_id:
             headers.append((b"Attempt-Id", request.attempt_id))
         if refuse_ms is not None:
-            target_ms = request.route.target_ms if request.route else self.context.settings.bounds.contact_ms
+            target_ms = (
+                request.route.target_ms
+                if request.route
+                else self.context.settings.bounds.contact_ms
+            )
             wait_ms = target_ms * RETRY_SHARE * self.context.random.uniform(0.8, 1.6)
             headers.append(("Retry-After", f"{wait_ms / 1000.0:.3f}"))
         self.finish(request, (status, b"", headers, why.encode()))
@@ -458,8 +615,14 @@
             return
         if request.note is not None and not request.offered:
             first = request.note.first
-            self.own(request, *((409, "this key is at work") if first is not None and first.offered
-                            else (503, "its key can't be noted in time", self.context.now_ms())))
+            self.own(
+                request,
+                *(
+                    (409, "this key is at work")
+                    if first is not None and first.offered
+                    else (503, "its key can't be noted in time", self.context.now_ms())
+                ),
+            )
             return
         queue = self.waiting.get(request.service)
         if queue and request in queue:
@@ -484,7 +647,9 @@
                 self.context.soon(self.pump, carrier.target.service)
 
     def abandon(self, request):
-        """The client has gone: a repeatable request ends, another runs on and its answer is dropped."""
+        """The client has gone: a repeatable request ends, another runs on and its answer is
+        dropped.
+        """
         if request.answer is not None:
             return
         request.answer = (None, b"", (), b"")
@@ -500,16 +665,23 @@
             self.drop(request)
 
     def unheard(self, request, state, answer=None):
-        """A noted request whose client has gone came to its end: the record says what became of it."""
+        """A noted request whose client has gone came to its end: the record says what became
+        of it.
+        """
         if request.note is not None:
             self.holdings.conclude(request, state, answer)
 
     def finish(self, request, answer):
-        """Sets the request's answer and has its connection write what is due; a noted request's end is noted first."""
+        """Sets the request's answer and has its connection write what is due; a noted request's end
+        is noted first.
+        """
         if request.answer is not None:
             return
-        if request.note is not None and not request.note.settled and self.holdings.live.get(
-                (request.note.session, request.note.key)) is request:
+        if (
+            request.note is not None
+            and not request.note.settled
+            and self.holdings.live.get((request.note.session, request.note.key)) is request
+        ):
             self.holdings.settle(request, answer, lambda ending: self.finish(request, ending))
             return
         request.answer = answer
--- a/stagevale/forwarding/client.py
+++ b/stagevale/forwarding/client.py
@@ -1,4 +1,5 @@
 """Connections from clients: pipelined requests are read ahead and answered in order."""
+
 import asyncio
 from collections import deque
 
@@ -12,8 +13,20 @@
 class ClientConnection(asyncio.Protocol):
     """One connection of a client: owns its parser, its queue of requests and its timers."""
 
-    __slots__ = ("forwarder", "transport", "parser", "requests", "head", "body", "size", "timer", "last_read",
-                 "pending", "paused", "started_ms")
+    __slots__ = (
+        "forwarder",
+        "transport",
+        "parser",
+        "requests",
+        "head",
+        "body",
+        "size",
+        "timer",
+        "last_read",
+        "pending",
+        "paused",
+        "started_ms",
+    )
 
     def __init__(self, forwarder):
         self.forwarder = forwarder
@@ -70,7 +83,10 @@
             return
         if len(self.requests) >= AHEAD:
             self.pending += data
-            if len(self.pending) > self.forwarder.snapshot.limits.header_max_bytes and not self.paused:
+            if (
+                len(self.pending) > self.forwarder.snapshot.limits.header_max_bytes
+                and not self.paused
+            ):
                 self.paused = True
                 self.transport.pause_reading()
             return
@@ -88,8 +104,11 @@
                     self.head, self.body, self.size = event, [], 0
                     self.watch(self.forwarder.snapshot.limits.idle_ms)
                     names = [name for name, _ in event.headers]
-                    if len(event.target) + sum(len(name) + len(value) + 4 for name, value in event.headers) \
-                            > self.forwarder.snapshot.limits.header_max_bytes:
+                    if (
+                        len(event.target)
+                        + sum(len(name) + len(value) + 4 for name, value in event.headers)
+                        > self.forwarder.snapshot.limits.header_max_bytes
+                    ):
                         self.last_read = True
                         self.own_answer(431, "the head is over the limit")
                         return
@@ -98,7 +117,9 @@
                         self.own_answer(400, "two lengths for one body")
                         return
                     if self.parser.they_are_waiting_for_100_continue and not self.requests:
-                        self.transport.write(self.parser.send(h11.InformationalResponse(status_code=100, headers=[])))
+                        self.transport.write(
+                            self.parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+                        )
                 elif isinstance(event, h11.Data):
                     self.size += len(event.data)
                     if self.size > self.forwarder.snapshot.limits.body_max_bytes:
@@ -125,7 +146,9 @@
                     return
         except h11.RemoteProtocolError as failure:
             self.last_read = True
-            self.own_answer(failure.error_status_hint or 400, f"not a request in the protocol: {failure}")
+            self.own_answer(
+                failure.error_status_hint or 400, f"not a request in the protocol: {failure}"
+            )
 
     def unwatch(self):
         if self.timer is not None:
@@ -133,8 +156,12 @@
             self.timer = None
 
     def take(self, parser):
-        """A whole request has been read: it starts at once if it may run beside the ones before it."""
-        request = Request(self, parser, self.head, b"".join(self.body), self.forwarder.context.now_ms())
+        """A whole request has been read: it starts at once if it may run beside the ones
+        before it.
+        """
+        request = Request(
+            self, parser, self.head, b"".join(self.body), self.forwarder.context.now_ms()
+        )
         self.requests.append(request)
         self.forwarder.read(request)
         if request.answer is None and (request.route.pure or len(self.requests) == 1):
@@ -143,7 +170,9 @@
             self.flush()
 
     def own_answer(self, status, text):
-        """Queues an answer of our own for what could not be read, and ends the connection behind it."""
+        """Queues an answer of our own for what could not be read, and ends the connection behind
+        it.
+        """
         self.unwatch()
         request = Request(self, self.parser, None, b"", self.forwarder.context.now_ms())
         request.closes = True
@@ -152,7 +181,9 @@
         self.flush()
 
     def flush(self):
-        """Writes the answers that are due, in order, and starts the next request where it had to wait."""
+        """Writes the answers that are due, in order, and starts the next request where it had to
+        wait.
+        """
         while self.requests and self.requests[0].answer is not None:
             request = self.requests.popleft()
             if not self.write(request):
@@ -190,12 +221,16 @@
         if closes:
             parts.append(("Connection", "close"))
         try:
-            out = request.parser.send(h11.Response(status_code=status, headers=parts, reason=reason))
+            out = request.parser.send(
+                h11.Response(status_code=status, headers=parts, reason=reason)
+            )
             if body and status not in (204, 304) and request.method != b"HEAD":
                 out += request.parser.send(h11.Data(data=body))
             out += request.parser.send(h11.EndOfMessage())
         except h11.LocalProtocolError as failure:
-            self.forwarder.context.log.warning("forwarder: an answer can't be written: %s.", failure)
+            self.forwarder.context.log.warning(
+                "forwarder: an answer can't be written: %s.", failure
+            )
             self.transport.abort()
             return False
         self.transport.write(out)
--- a/stagevale/forwarding/endpoint.py
+++ b/stagevale/forwarding/endpoint.py
@@ -1,13 +1,27 @@
-"""Connections to endpoints: one Protocol object per connection owns its parser, its request and its timers."""
+"""Connections to endpoints: one Protocol object per connection owns its parser, its request and its
+timers.
+"""
+
 import asyncio
 
 import h11
 
 from stagevale import wire
 
-HOP_HEADERS = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization",
-                         b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-                         b"content-length"))
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
 ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -27,8 +41,22 @@
 class EndpointConnection(asyncio.Protocol):
     """One connection to an endpoint; carries one request at a time."""
 
-    __slots__ = ("forwarder", "target", "transport", "parser", "request", "head", "body", "size", "keep_ms",
-                 "timer", "opened_ms", "written", "closing", "surplus")
+    __slots__ = (
+        "forwarder",
+        "target",
+        "transport",
+        "parser",
+        "request",
+        "head",
+        "body",
+        "size",
+        "keep_ms",
+        "timer",
+        "opened_ms",
+        "written",
+        "closing",
+        "surplus",
+    )
 
     def __init__(self, forwarder, target):
         self.forwarder = forwarder
@@ -51,8 +79,13 @@
         self.request = request
         self.target.open += 1
         silence_ms = self.forwarder.context.settings.bounds.contact_ms / 14.0
-        self.forwarder.context.connect(wire.pair(self.target.address), self, self.not_opened, silence_ms,
-                                   self.forwarder.context.settings.bounds.contact_ms)
+        self.forwarder.context.connect(
+            wire.pair(self.target.address),
+            self,
+            self.not_opened,
+            silence_ms,
+            self.forwarder.context.settings.bounds.contact_ms,
+        )
 
     def not_opened(self, failure):
         if self.transport is None and not self.closing:
@@ -64,7 +97,9 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        self.forwarder.chooser.connected(self.target, self.forwarder.context.now_ms() - self.opened_ms)
+        self.forwarder.chooser.connected(
+            self.target, self.forwarder.context.now_ms() - self.opened_ms
+        )
         if self.closing:
             transport.abort()
             return
@@ -90,12 +125,16 @@
             self.park()
             self.forwarder.not_sent(request, self.target, None)
             return
-        headers = request.headers + [(b"Deadline-Ms", str(left_ms).encode()),
-                                 (b"Expect-Instance", self.target.id.encode())]
+        headers = request.headers + [
+            (b"Deadline-Ms", str(left_ms).encode()),
+            (b"Expect-Instance", self.target.id.encode()),
+        ]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             headers.append((b"Content-Length", str(len(request.body)).encode()))
         try:
-            data = self.parser.send(h11.Request(method=request.method, target=request.target, headers=headers))
+            data = self.parser.send(
+                h11.Request(method=request.method, target=request.target, headers=headers)
+            )
             if request.body:
                 data += self.parser.send(h11.Data(data=request.body))
             data += self.parser.send(h11.EndOfMessage())
@@ -149,23 +188,36 @@
             self.fail(f"no answer in the protocol: {failure}")
 
     def complete(self):
-        """A whole answer has come; returns True where it was a surplus one and the request's may still follow."""
+        """A whole answer has come; returns True where it was a surplus one and the request's may
+        still follow.
+        """
         request, head = self.request, self.head
         fields = {}
         for name, value in head.headers:
             fields[name] = value
-        framed = b"content-length" in fields or b"transfer-encoding" in fields or head.status_code in (204, 304) \
+        framed = (
+            b"content-length" in fields
+            or b"transfer-encoding" in fields
+            or head.status_code in (204, 304)
             or request.method == b"HEAD"
+        )
         id = fields.get(b"attempt-id")
         not_run = b"not-run" in fields or head.status_code == 421
         if id != request.attempt_id and not (id is None and not_run):
-            if id is None or not framed or self.parser.their_state is not h11.DONE or self.surplus >= 2:
+            if (
+                id is None
+                or not framed
+                or self.parser.their_state is not h11.DONE
+                or self.surplus >= 2
+            ):
                 self.fail("an answer to something else")
                 return False
             self.surplus += 1
             rest = self.parser.trailing_data[0]
             self.parser = h11.Connection(h11.CLIENT)
-            self.parser.send(h11.Request(method=request.method, target=request.target, headers=[(b"Host", b"x")]))
+            self.parser.send(
+                h11.Request(method=request.method, target=request.target, headers=[(b"Host", b"x")])
+            )
             self.parser.send(h11.EndOfMessage())
             self.head, self.body, self.size = None, [], 0
             if rest:
@@ -174,14 +226,22 @@
         if not framed:
             self.fail("an answer without a length")
             return False
-        headers = [(name, value) for name, value in head.headers.raw_items() if name.lower() not in HOP_HEADERS]
+        headers = [
+            (name, value)
+            for name, value in head.headers.raw_items()
+            if name.lower() not in HOP_HEADERS
+        ]
         answer = Answer(head.status_code, bytes(head.reason), headers, b"".join(self.body), fields)
         self.request = None
         keep = fields.get(b"keep-alive", b"")
         if keep:
             self.read_keep_alive(keep)
-        reusable = (self.parser.their_state is h11.DONE and self.parser.our_state is h11.DONE
-                    and not self.parser.trailing_data[0] and not self.surplus)
+        reusable = (
+            self.parser.their_state is h11.DONE
+            and self.parser.our_state is h11.DONE
+            and not self.parser.trailing_data[0]
+            and not self.surplus
+        )
         if reusable:
             self.parser.start_next_cycle()
             self.park()
--- a/stagevale/membership/__init__.py
+++ b/stagevale/membership/__init__.py
@@ -1,12 +1,30 @@
-"""Membership by gossip, after "Akka Cluster Specification": overview, state, suspicion, sorted leader."""
+"""Membership by gossip, after "Akka Cluster Specification": overview, state, suspicion, sorted
+leader.
+"""
+
 import asyncio
 import json
 import struct
 
 from stagevale import wire
 from stagevale.membership import clocks
-from stagevale.membership.state import (COMPLETE, COUNTED, DOWN, EXITING, JOINING, LEADING, LEAVING,
-                                        REMOVED, STATE_NAMES, UP, GossipState, Member, from_message, merged, sort_key)
+from stagevale.membership.state import (
+    COMPLETE,
+    COUNTED,
+    DOWN,
+    EXITING,
+    JOINING,
+    LEADING,
+    LEAVING,
+    REMOVED,
+    STATE_NAMES,
+    UP,
+    GossipState,
+    Member,
+    from_message,
+    merged,
+    sort_key,
+)
 from stagevale.membership.suspicion import Suspicion
 
 DATAGRAM_BYTES = 60000
@@ -19,16 +37,46 @@
 class Membership(asyncio.DatagramProtocol):
     """This daemon's part in the gossip; datagrams in, datagrams out."""
 
-    __slots__ = ("context", "me", "state", "rows", "heartbeat", "suspicions", "unreachable", "observed", "transport",
-                 "change_hooks", "contacts", "interval_ms", "timer", "placer", "serial", "serial_hook",
-                 "started_ms", "keys", "down_since_ms", "written", "packed", "packed_of", "past",
-                 "whole_ms")
+    __slots__ = (
+        "context",
+        "me",
+        "state",
+        "rows",
+        "heartbeat",
+        "suspicions",
+        "unreachable",
+        "observed",
+        "transport",
+        "change_hooks",
+        "contacts",
+        "interval_ms",
+        "timer",
+        "placer",
+        "serial",
+        "serial_hook",
+        "started_ms",
+        "keys",
+        "down_since_ms",
+        "written",
+        "packed",
+        "packed_of",
+        "past",
+        "whole_ms",
+    )
 
     def __init__(self, context, address, program, front=""):
         settings = context.settings
         self.context = context
-        self.me = Member(address, context.random.getrandbits(31), 0, JOINING, program,
-                         settings.zone, settings.region, front)
+        self.me = Member(
+            address,
+            context.random.getrandbits(31),
+            0,
+            JOINING,
+            program,
+            settings.zone,
+            settings.region,
+            front,
+        )
         self.written = 1 + context.random.getrandbits(20)
         self.me.dot = [address, self.written]
         self.state = GossipState({address: self.written}, {address: self.me}, 0, {}, ())
@@ -56,7 +104,9 @@
     def start(self):
         """Binds the gossip port and begins to gossip."""
         self.context.datagrams(wire.pair(self.me.address), self)
-        self.timer = self.context.after(self.context.random.uniform(0.02, 0.1) * self.interval_ms, self.tick)
+        self.timer = self.context.after(
+            self.context.random.uniform(0.02, 0.1) * self.interval_ms, self.tick
+        )
 
     def connection_made(self, transport):
         self.transport = transport
@@ -69,12 +119,19 @@
 
     def others(self, states=COUNTED):
         """The other members in these states."""
-        return [member for member in self.state.members.values()
-                if member.state in states and member.address != self.me.address]
+        return [
+            member
+            for member in self.state.members.values()
+            if member.state in states and member.address != self.me.address
+        ]
 
     def members(self, program, states=COUNTED):
         """Members of one program, this one included, in sorted order."""
-        return [member for member in self.state.sorted() if member.program == program and member.state in states]
+        return [
+            member
+            for member in self.state.sorted()
+            if member.program == program and member.state in states
+        ]
 
     def reachable(self, address):
         return address not in self.unreachable
@@ -98,10 +155,12 @@
     def leader(self):
         """The first member in sorted order that may lead among those not suspected.
 
-        Where nobody is up yet, the first joining core member leads: the singleton rule of the source,
-        which otherwise would let no cluster begin.
+        Where nobody is up yet, the first joining core member leads: the singleton rule of the
+        source, which otherwise would let no cluster begin.
         """
-        reachable = [member for member in self.state.sorted() if member.address not in self.unreachable]
+        reachable = [
+            member for member in self.state.sorted() if member.address not in self.unreachable
+        ]
         for member in reachable:
             if member.state in LEADING:
                 return member.address
@@ -116,7 +175,9 @@
         return None
 
     def tick(self):
-        """One gossip round: heartbeat, suspicion, own place in the state, leader's actions, overviews."""
+        """One gossip round: heartbeat, suspicion, own place in the state, leader's actions,
+        overviews.
+        """
         context = self.context
         now_ms = context.now_ms()
         self.heartbeat += 1
@@ -129,8 +190,9 @@
         self.timer = context.after(pace * context.random.uniform(0.9, 1.1), self.tick)
 
     def expected_ms(self, member):
-        """How far apart a member's heartbeats are thought to arrive before any has: proxies of a large fleet speak
-        less often beyond their own zone, so word of them takes more rounds."""
+        """How far apart a member's heartbeats are thought to arrive before any has: proxies of a
+        large fleet speak less often beyond their own zone, so word of them takes more rounds.
+        """
         spread = max(1.0, len(self.state.members) / FAR_TELLERS) ** (0.25 if member.core else 0.5)
         return self.interval_ms * 1.5 * spread
 
@@ -154,22 +216,42 @@
             self.tell()
 
     def ensure_self(self):
-        """Rejoins as a new life where the state holds another, downed or removed life of this address.
+        """Rejoins as a new life where the state holds another, downed or removed life of this
+        address.
 
-        A counter under this address that this life never wrote comes from an earlier life: the others may hold that
-        one under the same clock, so this one takes a higher generation and says so with a change of its own.
+        A counter under this address that this life never wrote comes from an earlier life: the
+        others may hold that one under the same clock, so this one takes a higher generation and
+        says so with a change of its own.
         """
         known = self.state.members.get(self.me.address)
         foreign = self.state.clock.get(self.me.address, 0) > self.written
-        if known is not None and known.uid == self.me.uid and known.state in COUNTED and not foreign:
+        if (
+            known is not None
+            and known.uid == self.me.uid
+            and known.state in COUNTED
+            and not foreign
+        ):
             if known.state != self.me.state:
                 self.me = known
             return
         generation = known.generation + 1 if known is not None else 0
-        self.me = Member(self.me.address, self.me.uid if known is None or known.uid != self.me.uid
-                         else self.context.random.getrandbits(31), generation,
-                         JOINING, self.me.program, self.me.zone, self.me.region, self.me.front)
-        self.make(self.state.changed(self.me.address, members={**self.state.members, self.me.address: self.me}))
+        self.me = Member(
+            self.me.address,
+            self.me.uid
+            if known is None or known.uid != self.me.uid
+            else self.context.random.getrandbits(31),
+            generation,
+            JOINING,
+            self.me.program,
+            self.me.zone,
+            self.me.region,
+            self.me.front,
+        )
+        self.make(
+            self.state.changed(
+                self.me.address, members={**self.state.members, self.me.address: self.me}
+            )
+        )
 
     def make(self, state):
         """Takes a state that this daemon has changed itself."""
@@ -188,8 +270,12 @@
             known = before.members.get(address)
             if known is None or known.uid != member.uid:
                 self.suspicions.pop(address, None)
-            if (self.me.core or member.core) and member.state != JOINING and address != self.me.address \
-                    and (known is None or known.state != member.state):
+            if (
+                (self.me.core or member.core)
+                and member.state != JOINING
+                and address != self.me.address
+                and (known is None or known.state != member.state)
+            ):
                 self.context.log.info("membership: %s is %s.", address, STATE_NAMES[member.state])
         mine = state.members.get(self.me.address)
         if mine is not None and mine.uid == self.me.uid and mine.state != self.me.state:
@@ -202,7 +288,9 @@
             hook()
 
     def lead(self, settled, now_ms):
-        """What the sorted leader does: at convergence shifts members and moves parts; downs with a core majority."""
+        """What the sorted leader does: at convergence shifts members and moves parts; downs with a
+        core majority.
+        """
         if self.leader() != self.me.address:
             return
         if not settled:
@@ -215,7 +303,9 @@
             if member.state == JOINING:
                 members[address] = member.at(UP)
                 changed = True
-            elif member.state == EXITING or (member.state == DOWN and (not member.core or self.gone(member, now_ms))):
+            elif member.state == EXITING or (
+                member.state == DOWN and (not member.core or self.gone(member, now_ms))
+            ):
                 members[address] = member.at(REMOVED)
                 changed = True
         if self.placer is not None:
@@ -225,20 +315,41 @@
                 table_version += 1
                 changed = True
         if changed:
-            pruned = {address: counter for address, counter in self.state.clock.items()
-                      if address in members and members[address].state != REMOVED}
-            base = GossipState(pruned, self.state.members, self.state.table_version, self.state.table, self.state.moves,
-                               self.state.table_dots)
-            self.make(base.changed(self.me.address, members=members, table_version=table_version, table=table, moves=moves))
+            pruned = {
+                address: counter
+                for address, counter in self.state.clock.items()
+                if address in members and members[address].state != REMOVED
+            }
+            base = GossipState(
+                pruned,
+                self.state.members,
+                self.state.table_version,
+                self.state.table,
+                self.state.moves,
+                self.state.table_dots,
+            )
+            self.make(
+                base.changed(
+                    self.me.address,
+                    members=members,
+                    table_version=table_version,
+                    table=table,
+                    moves=moves,
+                )
+            )
 
     def gone(self, member, now_ms):
-        """True for a core member that has been down so long that its machine must be taken for gone for good."""
+        """True for a core member that has been down so long that its machine must be taken for gone
+        for good.
+        """
         since_ms = self.down_since_ms.setdefault(member.key, now_ms)
         return now_ms - since_ms > self.context.settings.bounds.contact_ms * GONE_SHARE
 
     def recent(self, observer, heartbeat):
-        """True where an observer may still say what it said at this heartbeat: one that still suspects says so each
-        round, and what others pass on of one that no longer does would go about for ever."""
+        """True where an observer may still say what it said at this heartbeat: one that still
+        suspects says so each round, and what others pass on of one that no longer does would go
+        about for ever.
+        """
         row = self.rows.get(observer)
         if row is None:
             return True
@@ -246,14 +357,26 @@
         return behind < SAID_ROUNDS or behind >= 0x8000
 
     def bury(self):
-        """Marks unreachable members down, where a majority of the core machines finds them unreachable."""
-        core = {member.machine for member in self.state.members.values() if member.core and member.state != REMOVED}
+        """Marks unreachable members down, where a majority of the core machines finds them
+        unreachable.
+        """
+        core = {
+            member.machine
+            for member in self.state.members.values()
+            if member.core and member.state != REMOVED
+        }
         members = dict(self.state.members)
         changed = False
         for address in self.unreachable:
-            witnesses = {observer.rpartition(":")[0] for observer, (heartbeat, seen) in self.observed.items()
-                         if address in seen and observer not in self.unreachable and self.recent(observer, heartbeat)
-                         and observer in members and members[observer].core}
+            witnesses = {
+                observer.rpartition(":")[0]
+                for observer, (heartbeat, seen) in self.observed.items()
+                if address in seen
+                and observer not in self.unreachable
+                and self.recent(observer, heartbeat)
+                and observer in members
+                and members[observer].core
+            }
             if self.me.core:
                 witnesses.add(self.me.machine)
             if len(witnesses & core) * 2 > len(core) and members[address].state in COUNTED:
@@ -264,16 +387,24 @@
 
     def complete_move(self, move):
         """Marks a pending move of this daemon as complete."""
-        moves = tuple(type(move)(kept.part, kept.giver, kept.taker, COMPLETE) if kept.key() == move.key() else kept
-                      for kept in self.state.moves)
+        moves = tuple(
+            type(move)(kept.part, kept.giver, kept.taker, COMPLETE)
+            if kept.key() == move.key()
+            else kept
+            for kept in self.state.moves
+        )
         self.make(self.state.changed(self.me.address, moves=moves))
 
     def leave(self):
         """Says that this daemon leaves in order."""
         known = self.state.members.get(self.me.address)
         if known is not None and known.uid == self.me.uid and known.state in (JOINING, UP):
-            self.make(self.state.changed(self.me.address,
-                                        members={**self.state.members, self.me.address: known.at(LEAVING)}))
+            self.make(
+                self.state.changed(
+                    self.me.address,
+                    members={**self.state.members, self.me.address: known.at(LEAVING)},
+                )
+            )
             for _ in range(3):
                 self.gossip(self.context.now_ms())
 
@@ -281,11 +412,17 @@
         """Says that all that this daemon had is handed over."""
         known = self.state.members.get(self.me.address)
         if known is not None and known.uid == self.me.uid and known.state == LEAVING:
-            self.make(self.state.changed(self.me.address,
-                                        members={**self.state.members, self.me.address: known.at(EXITING)}))
+            self.make(
+                self.state.changed(
+                    self.me.address,
+                    members={**self.state.members, self.me.address: known.at(EXITING)},
+                )
+            )
 
     def gossip(self, now_ms, settled=False):
-        """Sends the overview: to a live member, sometimes to an unreachable one, a deputy, one that differs."""
+        """Sends the overview: to a live member, sometimes to an unreachable one, a deputy, one that
+        differs.
+        """
         random = self.context.random
         live = [member for member in self.others() if member.address not in self.unreachable]
         lost = [member for member in self.others() if member.address in self.unreachable]
@@ -294,8 +431,15 @@
         if live and not self.me.core and random.random() > self.far_share(live):
             beside = [member for member in live if member.zone == self.me.zone] or live
             targets.add(random.choice(beside).address)
-            differing = [] if settled else [member for member in beside
-                                            if self.rows.get(member.address, (0, 0, 0))[2] != self.state.mark]
+            differing = (
+                []
+                if settled
+                else [
+                    member
+                    for member in beside
+                    if self.rows.get(member.address, (0, 0, 0))[2] != self.state.mark
+                ]
+            )
             if differing:
                 targets.add(random.choice(differing).address)
         elif live:
@@ -306,13 +450,24 @@
                 targets.add(random.choice(beside).address)
             chosen = random.choice(near if near and random.random() < 0.5 else away or beside)
             targets.add(chosen.address)
-            differing = [member for member in live
-                         if self.rows.get(member.address, (0, 0, 0))[2] != self.state.mark]
+            differing = [
+                member
+                for member in live
+                if self.rows.get(member.address, (0, 0, 0))[2] != self.state.mark
+            ]
             if differing:
-                targets.add(random.choice(self.nearest(differing) if len(live) > FAR_TELLERS else differing).address)
+                targets.add(
+                    random.choice(
+                        self.nearest(differing) if len(live) > FAR_TELLERS else differing
+                    ).address
+                )
             deputies = [member for member in self.state.sorted() if member.state in LEADING][1:3]
             names = {member.address for member in deputies}
-            if chosen.address not in names and deputies and random.random() < (len(lost) + 0.2) / (len(live) + 1):
+            if (
+                chosen.address not in names
+                and deputies
+                and random.random() < (len(lost) + 0.2) / (len(live) + 1)
+            ):
                 targets.add(random.choice(deputies).address)
         if lost and random.random() < len(lost) / (len(live) + 1.0) + 0.1:
             targets.add(random.choice(lost).address)
@@ -325,28 +480,34 @@
             self.send_to(address, overview)
         alone = self.state.members[self.me.address].state == JOINING or not live
         if alone or random.random() < 0.03:
-            unknown = [address for address in self.contacts
-                       if address not in self.state.members and address != self.me.address]
+            unknown = [
+                address
+                for address in self.contacts
+                if address not in self.state.members and address != self.me.address
+            ]
             for address in unknown:
                 self.send_state(address)
 
     def nearest(self, members):
-        """Those of the own zone among some members, else those of the own region, else all: in a large fleet what differs
-        is told there first, since each region has many who bring it on."""
+        """Those of the own zone among some members, else those of the own region, else all: in a
+        large fleet what differs is told there first, since each region has many who bring it on.
+        """
         inside = [member for member in members if member.region == self.me.region]
         beside = [member for member in inside if member.zone == self.me.zone]
         return beside or inside or members
 
     def far_share(self, live):
-        """How often a proxy's round goes beyond its own zone: in a large fleet the far talk of all proxies together
-        stays what a dozen of them have, and the core carries their heartbeats on."""
+        """How often a proxy's round goes beyond its own zone: in a large fleet the far talk of all
+        proxies together stays what a dozen of them have, and the core carries their heartbeats on.
+        """
         return FAR_TELLERS / max(FAR_TELLERS, sum(1 for member in live if not member.core) + 1.0)
 
     def overview(self, with_clock=False):
-        """Heartbeats and versions of all members; the own clock goes along only where it was asked for.
+        """Heartbeats and versions of all members; the own clock goes along only where it was asked
+        for.
 
-        Where every member's row is known and all have seen this state, the rows are bare heartbeats in sorted order:
-        whoever has this state knows which is whose.
+        Where every member's row is known and all have seen this state, the rows are bare heartbeats
+        in sorted order: whoever has this state knows which is whose.
         """
         rows, mine, me = self.rows, self.state.mark, self.me.address
         keys, beats, seen_marks = [], [], []
@@ -365,55 +526,91 @@
         if keyed:
             marks += [mark for mark in dict.fromkeys(seen_marks) if mark != mine][:254]
             place = {mark: at for at, mark in enumerate(marks)}
-            told += struct.pack(f"!{len(keys)}I", *keys) + bytes(place.get(mark, 255) for mark in seen_marks)
-        seen = [[self.me.address, self.heartbeat, sorted(self.unreachable)]] if self.unreachable else []
+            told += struct.pack(f"!{len(keys)}I", *keys) + bytes(
+                place.get(mark, 255) for mark in seen_marks
+            )
+        seen = (
+            [[self.me.address, self.heartbeat, sorted(self.unreachable)]]
+            if self.unreachable
+            else []
+        )
         for observer, (heartbeat, addresses) in self.observed.items():
             member = self.state.members.get(observer)
-            if addresses and member is not None and member.core and observer not in self.unreachable \
-                    and self.recent(observer, heartbeat):
+            if (
+                addresses
+                and member is not None
+                and member.core
+                and observer not in self.unreachable
+                and self.recent(observer, heartbeat)
+            ):
                 seen.append([observer, heartbeat, sorted(addresses)])
-        return wire.pack([wire.OVERVIEW, self.me.address, self.clock_bytes() if with_clock else b"",
-                          struct.pack(f"!{len(marks)}I", *marks), told, json.dumps(seen) if seen else "",
-                          self.serial, int(keyed)])
+        return wire.pack(
+            [
+                wire.OVERVIEW,
+                self.me.address,
+                self.clock_bytes() if with_clock else b"",
+                struct.pack(f"!{len(marks)}I", *marks),
+                told,
+                json.dumps(seen) if seen else "",
+                self.serial,
+                int(keyed),
+            ]
+        )
 
     def clock_bytes(self):
-        return wire.squeeze(b"".join(wire.pack_address(address) + struct.pack("!I", counter)
-                                     for address, counter in self.state.counted().items()))
+        return wire.squeeze(
+            b"".join(
+                wire.pack_address(address) + struct.pack("!I", counter)
+                for address, counter in self.state.counted().items()
+            )
+        )
 
     def read_clock(self, clock_bytes):
         clock = {}
         clock_bytes = wire.unsqueeze(clock_bytes)
         for at in range(0, len(clock_bytes) - 9, 10):
-            clock[wire.unpack_address(clock_bytes[at:at + 6])] = struct.unpack_from("!I", clock_bytes, at + 6)[0]
+            clock[wire.unpack_address(clock_bytes[at : at + 6])] = struct.unpack_from(
+                "!I", clock_bytes, at + 6
+            )[0]
         return clock
 
     def packed_state(self, base=None, base_mark=0):
-        """The state for a message, whole or what the holder of a clock lacks: JSON inside the flexbuffer, since many
-        states go about while a fleet changes and the library for flexbuffers is slow; packed once for all who are at the
-        same mark."""
+        """The state for a message, whole or what the holder of a clock lacks: JSON inside the
+        flexbuffer, since many states go about while a fleet changes and the library for flexbuffers
+        is slow; packed once for all who are at the same mark.
+        """
         if self.packed_of is not self.state:
             self.packed_of = self.state
             self.packed = {}
         packed = self.packed.get(base_mark)
         if packed is None:
             message = self.state.message(base)
-            packed = b"" if base and not (message[0] or message[1] or message[5]) else wire.squeeze(
-                json.dumps(message, separators=(",", ":")).encode())
+            packed = (
+                b""
+                if base and not (message[0] or message[1] or message[5])
+                else wire.squeeze(json.dumps(message, separators=(",", ":")).encode())
+            )
             self.packed[base_mark] = packed
         return packed
 
     def send_state(self, address, base=None, base_mark=0):
-        """Sends the state: what the holder of the clock `base`, known to it by `base_mark`, lacks. The whole goes to one
-        without a base, and where the clocks say that nothing is lacking though the marks differ; but once a round."""
+        """Sends the state: what the holder of the clock `base`, known to it by `base_mark`, lacks.
+        The whole goes to one without a base, and where the clocks say that nothing is lacking
+        though the marks differ; but once a round.
+        """
         packed = self.packed_state(base, base_mark)
         if not base or not packed:
             now_ms = self.context.now_ms()
-            self.whole_ms = {to: ms for to, ms in self.whole_ms.items() if now_ms - ms < self.interval_ms * 0.4}
+            self.whole_ms = {
+                to: ms for to, ms in self.whole_ms.items() if now_ms - ms < self.interval_ms * 0.4
+            }
             if address in self.whole_ms:
                 return
             self.whole_ms[address] = now_ms
             packed, base_mark = self.packed_state(), 0
-        self.send_to(address, wire.pack([wire.STATE, self.me.address, packed, self.state.mark, base_mark]))
+        self.send_to(
+            address, wire.pack([wire.STATE, self.me.address, packed, self.state.mark, base_mark])
+        )
 
     def send_to(self, address, data):
         if self.transport is not None and len(data) <= DATAGRAM_BYTES:
@@ -456,7 +653,11 @@
         seen = json.loads(seen) if seen else ()
         for observer, heartbeat, addresses in seen:
             known = self.observed.get(observer)
-            if observer != me and self.recent(observer, heartbeat) and (known is None or heartbeat > known[0] or heartbeat < known[0] - 10):
+            if (
+                observer != me
+                and self.recent(observer, heartbeat)
+                and (known is None or heartbeat > known[0] or heartbeat < known[0] - 10)
+            ):
                 self.observed[observer] = (heartbeat, frozenset(addresses))
         if sender in self.observed and not any(observer == sender for observer, _, _ in seen):
             self.observed.pop(sender)
@@ -467,16 +668,25 @@
         if clock_bytes:
             theirs = self.read_clock(clock_bytes)
             if clocks.compare(self.state.clock, theirs, self.state.removed()) == clocks.NEWER:
-                self.send_to(sender, wire.pack([wire.STATE_WANTED, self.me.address, self.state.mark, self.clock_bytes()]))
+                self.send_to(
+                    sender,
+                    wire.pack(
+                        [wire.STATE_WANTED, self.me.address, self.state.mark, self.clock_bytes()]
+                    ),
+                )
             else:
                 self.send_state(sender, theirs, marks[0])
         elif marks[0] in self.past:
             self.send_state(sender, self.past[marks[0]], marks[0])
         else:
-            self.send_to(sender, wire.pack([wire.STATE_WANTED, self.me.address, self.state.mark, b""]))
+            self.send_to(
+                sender, wire.pack([wire.STATE_WANTED, self.me.address, self.state.mark, b""])
+            )
 
     def wanted(self, sender, mark, clock_bytes):
-        """Another lacks what is here: it gets that, or where its mark says nothing here, the question for its clock."""
+        """Another lacks what is here: it gets that, or where its mark says nothing here, the
+        question for its clock.
+        """
         if mark == self.state.mark:
             return
         base = self.read_clock(clock_bytes) if clock_bytes else self.past.get(mark)
@@ -486,7 +696,9 @@
             self.send_to(sender, self.overview(True))
 
     def arrived_state(self, sender, packed, mark, base_mark):
-        """A state, whole or on top of a base; on top of a base that this life never held it can't be used."""
+        """A state, whole or on top of a base; on top of a base that this life never held it can't
+        be used.
+        """
         if mark == self.state.mark:
             return
         if base_mark and base_mark not in self.past:
@@ -501,20 +713,29 @@
             counting = self.state.counting()
             if marks[0] != self.state.mark or len(row_bytes) != 2 * len(counting):
                 return ()
-            return zip(counting, struct.unpack(f"!{len(counting)}H", row_bytes), [marks[0]] * len(counting))
+            return zip(
+                counting, struct.unpack(f"!{len(counting)}H", row_bytes), [marks[0]] * len(counting)
+            )
         count = len(row_bytes) // 7
         beats = struct.unpack_from(f"!{count}H", row_bytes)
         keys = struct.unpack_from(f"!{count}I", row_bytes, 2 * count)
         known = self.keys
-        return [(known[key], beat, marks[at]) for key, beat, at in zip(keys, beats, row_bytes[6 * count:])
-                if key in known and at < len(marks)]
+        return [
+            (known[key], beat, marks[at])
+            for key, beat, at in zip(keys, beats, row_bytes[6 * count :])
+            if key in known and at < len(marks)
+        ]
 
     def heard_state(self, sender, theirs, mark=None, base=None):
-        """Takes in another's state, given on top of `base`: both are joined, and the sender gets what it lacks."""
+        """Takes in another's state, given on top of `base`: both are joined, and the sender gets
+        what it lacks.
+        """
         mark = theirs.mark if mark is None else mark
         if mark == self.state.mark:
             return
         self.put(merged(self.state, theirs))
         self.ensure_self()
         if self.state.mark != mark:
-            self.send_state(sender, clocks.joined(base, theirs.clock) if base else None, mark if base else 0)
+            self.send_state(
+                sender, clocks.joined(base, theirs.clock) if base else None, mark if base else 0
+            )
--- a/stagevale/membership/clocks.py
+++ b/stagevale/membership/clocks.py
@@ -1,4 +1,5 @@
 """Vector clocks as mappings from address to counter."""
+
 import zlib
 
 SAME, OLDER, NEWER, APART = "same", "older", "newer", "apart"
@@ -50,4 +51,6 @@
 
 def ahead(mine, theirs):
     """The entries of `mine` that `theirs` lacks."""
-    return {address: counter for address, counter in mine.items() if counter > theirs.get(address, 0)}
+    return {
+        address: counter for address, counter in mine.items() if counter > theirs.get(address, 0)
+    }
--- a/stagevale/membership/state.py
+++ b/stagevale/membership/state.py
@@ -1,4 +1,5 @@
 """The gossip state: members and their states, the placement table, pending moves."""
+
 import functools
 import zlib
 
@@ -14,7 +15,18 @@
 class Member:
     """One daemon as the gossip state knows it. Immutable by custom."""
 
-    __slots__ = ("address", "uid", "generation", "state", "program", "zone", "region", "front", "key", "dot")
+    __slots__ = (
+        "address",
+        "uid",
+        "generation",
+        "state",
+        "program",
+        "zone",
+        "region",
+        "front",
+        "key",
+        "dot",
+    )
 
     def __init__(self, address, uid, generation, state, program, zone, region, front, dot=None):
         self.address = address
@@ -29,12 +41,30 @@
         self.dot = dot
 
     def fields(self):
-        return [self.address, self.uid, self.generation, self.state, self.program, self.zone, self.region, self.front,
-                self.dot]
+        return [
+            self.address,
+            self.uid,
+            self.generation,
+            self.state,
+            self.program,
+            self.zone,
+            self.region,
+            self.front,
+            self.dot,
+        ]
 
     def at(self, state):
         """The same life in another state."""
-        return Member(self.address, self.uid, self.generation, state, self.program, self.zone, self.region, self.front)
+        return Member(
+            self.address,
+            self.uid,
+            self.generation,
+            state,
+            self.program,
+            self.zone,
+            self.region,
+            self.front,
+        )
 
     @property
     def machine(self):
@@ -76,11 +106,22 @@
 class GossipState:
     """What all members are to agree on. Immutable by custom: every change makes a new one.
 
-    Each member's row bears the dot (changer, counter) of the change that wrote it, the table and the moves bear the
-    dots of theirs: whoever has a clock that covers a dot has what it wrote, so only the rest need be sent.
+    Each member's row bears the dot (changer, counter) of the change that wrote it, the table and
+    the moves bear the dots of theirs: whoever has a clock that covers a dot has what it wrote, so
+    only the rest need be sent.
     """
 
-    __slots__ = ("clock", "members", "table_version", "table", "moves", "table_dots", "mark", "in_order", "in_count")
+    __slots__ = (
+        "clock",
+        "members",
+        "table_version",
+        "table",
+        "moves",
+        "table_dots",
+        "mark",
+        "in_order",
+        "in_count",
+    )
 
     def __init__(self, clock, members, table_version, table, moves, table_dots=()):
         self.clock = clock
@@ -99,12 +140,16 @@
     def counted(self):
         """The clock without the counters of removed members, which compare as nothing."""
         removed = self.removed()
-        return {address: counter for address, counter in self.clock.items() if address not in removed}
+        return {
+            address: counter for address, counter in self.clock.items() if address not in removed
+        }
 
     def sorted(self):
         """Members in sorted order of their addresses."""
         if self.in_order is None:
-            self.in_order = tuple(self.members[address] for address in sorted(self.members, key=sort_key))
+            self.in_order = tuple(
+                self.members[address] for address in sorted(self.members, key=sort_key)
+            )
         return self.in_order
 
     def counting(self):
@@ -127,21 +172,31 @@
             table_dots = (dot,)
         elif moves is not None and moves is not self.moves:
             table_dots = latest(table_dots + (dot,))
-        return GossipState(clock, members,
-                           self.table_version if table_version is None else table_version,
-                           self.table if table is None else table,
-                           self.moves if moves is None else moves, table_dots)
+        return GossipState(
+            clock,
+            members,
+            self.table_version if table_version is None else table_version,
+            self.table if table is None else table,
+            self.moves if moves is None else moves,
+            table_dots,
+        )
 
     def message(self, base=None):
         """The state for a message: whole, or what whoever has the clock `base` lacks."""
         base = base or {}
         told = any(not clocks.covers(base, dot) for dot in self.table_dots)
-        return [[[address, counter] for address, counter in clocks.ahead(self.counted(), base).items()],
-                [member.fields() for member in self.members.values() if not clocks.covers(base, member.dot)],
-                self.table_version if told else 0,
-                [[part, list(group)] for part, group in self.table.items()] if told else [],
-                [move.fields() for move in self.moves] if told else [],
-                list(self.table_dots) if told else []]
+        return [
+            [[address, counter] for address, counter in clocks.ahead(self.counted(), base).items()],
+            [
+                member.fields()
+                for member in self.members.values()
+                if not clocks.covers(base, member.dot)
+            ],
+            self.table_version if told else 0,
+            [[part, list(group)] for part, group in self.table.items()] if told else [],
+            [move.fields() for move in self.moves] if told else [],
+            list(self.table_dots) if told else [],
+        ]
 
 
 def latest(dots):
@@ -162,15 +217,22 @@
         if not 0 <= member.state <= REMOVED:
             raise ValueError("member state")
         members[member.address] = member
-    return GossipState({address: int(counter) for address, counter in clock_rows}, members, int(table_version),
-                       {part: tuple(group) for part, group in table_rows},
-                       tuple(Move(*row) for row in move_rows), tuple(table_dots))
+    return GossipState(
+        {address: int(counter) for address, counter in clock_rows},
+        members,
+        int(table_version),
+        {part: tuple(group) for part, group in table_rows},
+        tuple(Move(*row) for row in move_rows),
+        tuple(table_dots),
+    )
 
 
 def merged(mine, theirs):
-    """Both states in one: per member the later life and state, the later table, completed moves kept.
+    """Both states in one: per member the later life and state, the later table, completed moves
+    kept.
 
-    `theirs` may hold only what the holder of a clock that is not after `mine` lacked: the rest is in `mine` already.
+    `theirs` may hold only what the holder of a clock that is not after `mine` lacked: the rest is
+    in `mine` already.
     """
     members = dict(mine.members)
     for address, member in theirs.members.items():
@@ -182,5 +244,11 @@
     for move in mine.moves + theirs.moves:
         if move.key() in moves and move.status == COMPLETE:
             moves[move.key()] = move
-    return GossipState(clocks.joined(mine.clock, theirs.clock), members, later.table_version, later.table,
-                       tuple(moves[key] for key in sorted(moves)), latest(mine.table_dots + theirs.table_dots))
+    return GossipState(
+        clocks.joined(mine.clock, theirs.clock),
+        members,
+        later.table_version,
+        later.table,
+        tuple(moves[key] for key in sorted(moves)),
+        latest(mine.table_dots + theirs.table_dots),
+    )
--- a/stagevale/membership/suspicion.py
+++ b/stagevale/membership/suspicion.py
@@ -1,4 +1,5 @@
 """The phi accrual detector: how unlikely it is that a silent member still lives."""
+
 import math
 
 THRESHOLD = 8.0
@@ -6,7 +7,9 @@
 
 
 def chance_after(y):
-    """The chance that a silence of `y` deviations over the mean still ends, by the logistic approximation."""
+    """The chance that a silence of `y` deviations over the mean still ends, by the logistic
+    approximation.
+    """
     exponent = -y * (1.5976 + 0.070566 * y * y)
     if exponent < -700:
         return 0.0
@@ -15,11 +18,13 @@
 
 
 def deviations_at(threshold):
-    """How many deviations over the mean a silence lasts when the suspicion level reaches `threshold`."""
+    """How many deviations over the mean a silence lasts when the suspicion level reaches
+    `threshold`.
+    """
     low, high = 0.0, 60.0
     for _ in range(60):
         middle = (low + high) / 2.0
-        if chance_after(middle) > 10.0 ** -threshold:
+        if chance_after(middle) > 10.0**-threshold:
             low = middle
         else:
             high = middle
@@ -30,7 +35,9 @@
 
 
 class Suspicion:
-    """Arrival history of one member's heartbeats, with its sums kept up so that a look costs nothing while it speaks."""
+    """Arrival history of one member's heartbeats, with its sums kept up so that a look costs
+    nothing while it speaks.
+    """
 
     __slots__ = ("last_ms", "gaps", "total", "squares", "least_deviation_ms", "limit_ms")
 
@@ -73,4 +80,6 @@
     def phi(self, now_ms):
         """The suspicion level now."""
         mean = self.total / len(self.gaps)
-        return -math.log10(max(chance_after((now_ms - self.last_ms - mean) / self.deviation_ms(mean)), 1e-300))
+        return -math.log10(
+            max(chance_after((now_ms - self.last_ms - mean) / self.deviation_ms(mean)), 1e-300)
+        )
--- a/stagevale/placement/__init__.py
+++ b/stagevale/placement/__init__.py
@@ -1,4 +1,7 @@
-"""Placement: which members keep which part of the state, and which registries feed the proxies of a zone."""
+"""Placement: which members keep which part of the state, and which registries feed the proxies of a
+zone.
+"""
+
 import zlib
 
 from stagevale.membership.state import AWAITING, COMPLETE, LEAVING, UP, Move, sort_key
@@ -18,8 +21,12 @@
 
 
 def group_for(part, registries):
-    """A small group for a part: by rendezvous hash, one registry a region before a second of any."""
-    ordered = sorted(registries, key=lambda member: (-weight(part, member.address), sort_key(member.address)))
+    """A small group for a part: by rendezvous hash, one registry a region before a second of
+    any.
+    """
+    ordered = sorted(
+        registries, key=lambda member: (-weight(part, member.address), sort_key(member.address))
+    )
     group, regions = [], set()
     for member in ordered:
         if member.region not in regions and len(group) < GROUP_SIZE:
@@ -33,13 +40,22 @@
 
 def feeders_for(zone, region, registries):
     """The registries that feed a zone's proxies, nearest first."""
-    ordered = sorted(registries, key=lambda member: (member.zone != zone, member.region != region,
-                                                     weight(zone, member.address), sort_key(member.address)))
+    ordered = sorted(
+        registries,
+        key=lambda member: (
+            member.zone != zone,
+            member.region != region,
+            weight(zone, member.address),
+            sort_key(member.address),
+        ),
+    )
     return tuple(member.address for member in ordered[:FEEDERS])
 
 
 def fronts_for(zone, region, ready):
-    """The fronts for a client of a zone, out of rows (front, zone, region): its own, else near ones, else all."""
+    """The fronts for a client of a zone, out of rows (front, zone, region): its own, else near
+    ones, else all.
+    """
     here = sorted(front for front, its_zone, _ in ready if its_zone == zone)
     near = sorted(front for front, _, its_region in ready if its_region == region)
     return here or near or sorted(front for front, _, _ in ready)[:64]
@@ -48,20 +64,31 @@
 def place(members, table, moves, zones):
     """The leader's rule: returns (table, moves) where anything is to change, else None.
 
-    A part leaves a member that still lives by a pending move; from one that doesn't it is taken at once,
-    and the others of the group hand over what they keep.
+    A part leaves a member that still lives by a pending move; from one that doesn't it is taken at
+    once, and the others of the group hand over what they keep.
     """
-    registries = [member for member in members.values() if member.program == "registry" and member.state == UP]
+    registries = [
+        member for member in members.values() if member.program == "registry" and member.state == UP
+    ]
     if not registries:
         return None
-    living = {member.address for member in members.values()
-              if member.program == "registry" and member.state in (UP, LEAVING)}
+    living = {
+        member.address
+        for member in members.values()
+        if member.program == "registry" and member.state in (UP, LEAVING)
+    }
     new_table, new_moves = dict(table), []
     for move in moves:
         if move.status == COMPLETE:
-            new_table[move.part] = tuple(move.taker if address == move.giver else address
-                                        for address in new_table.get(move.part, ()))
-        elif move.giver in living and move.taker in living and move.giver in new_table.get(move.part, ()):
+            new_table[move.part] = tuple(
+                move.taker if address == move.giver else address
+                for address in new_table.get(move.part, ())
+            )
+        elif (
+            move.giver in living
+            and move.taker in living
+            and move.giver in new_table.get(move.part, ())
+        ):
             new_moves.append(move)
     for part in PARTS:
         wanted, held = group_for(part, registries), new_table.get(part, ())
