--- a/stagevale/programs/__init__.py
+++ b/stagevale/programs/__init__.py
@@ -1,4 +1,5 @@
 """What the three daemons have in common: logs, settings, signals, the loop."""
+
 import asyncio
 import gc
 import os
@@ -30,7 +31,9 @@
         address = f"{settings.ip}:{settings.inner_ports[0] + port_offset}"
         front = settings.listen.get("front")
         self.board = Switchboard(context, address)
-        self.membership = Membership(context, address, program, f"{front[0]}:{front[1]}" if front else "")
+        self.membership = Membership(
+            context, address, program, f"{front[0]}:{front[1]}" if front else ""
+        )
 
     def begin(self):
         self.board.start()
@@ -50,14 +53,24 @@
         try:
             settings = load_settings(self.path)
         except SettingsFailure as failure:
-            self.context.log.error("%s: new settings are invalid, the old ones stay: %s.", self.program, failure)
+            self.context.log.error(
+                "%s: new settings are invalid, the old ones stay: %s.", self.program, failure
+            )
             return
-        if settings.ip != self.context.settings.ip or settings.inner_ports != self.context.settings.inner_ports:
-            self.context.log.error("%s: new settings move this daemon; that takes a restart.", self.program)
+        if (
+            settings.ip != self.context.settings.ip
+            or settings.inner_ports != self.context.settings.inner_ports
+        ):
+            self.context.log.error(
+                "%s: new settings move this daemon; that takes a restart.", self.program
+            )
             return
         self.context.settings = settings
-        self.membership.contacts.extend(f"{ip}:{settings.inner_ports[0]}" for ip in settings.seeds
-                                        if f"{ip}:{settings.inner_ports[0]}" not in self.membership.contacts)
+        self.membership.contacts.extend(
+            f"{ip}:{settings.inner_ports[0]}"
+            for ip in settings.seeds
+            if f"{ip}:{settings.inner_ports[0]}" not in self.membership.contacts
+        )
         self.context.log.info("%s: settings read again.", self.program)
 
     def end(self):
@@ -97,11 +110,15 @@
             context.stopping = True
             logging.info("%s: ending in order.", program)
             daemon.end()
+
     loop.add_signal_handler(signal.SIGTERM, end)
     loop.add_signal_handler(signal.SIGINT, end)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
-    loop.set_exception_handler(lambda loop, details: logging.error(
-        "%s: %s: %r.", program, details.get("message"), details.get("exception")))
+    loop.set_exception_handler(
+        lambda loop, details: logging.error(
+            "%s: %s: %r.", program, details.get("message"), details.get("exception")
+        )
+    )
     loop.call_soon(daemon.begin)
     gc.collect()
     gc.freeze()
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -1,4 +1,5 @@
 """The proxy: carries the traffic; serves front and readiness; diskless."""
+
 import os
 
 from stagevale import wire
@@ -21,9 +22,21 @@
 class Proxy(Daemon):
     """The daemon on an edge machine."""
 
-    __slots__ = ("forwarder", "targets", "feeder", "feeder_heard_ms", "subscribed", "shunned",
-                 "lives_heard", "interval_ms", "front_server", "reported_ms", "life", "asking",
-                 "asks")
+    __slots__ = (
+        "forwarder",
+        "targets",
+        "feeder",
+        "feeder_heard_ms",
+        "subscribed",
+        "shunned",
+        "lives_heard",
+        "interval_ms",
+        "front_server",
+        "reported_ms",
+        "life",
+        "asking",
+        "asks",
+    )
 
     def __init__(self, context, path):
         super().__init__(context, "proxy", 0, path)
@@ -38,13 +51,20 @@
         self.reported_ms = 0.0
         if context.settings.steering:
             from stagevale.steering import Steering
-            self.forwarder.chooser.steering = Steering(context.settings.bounds, context.settings.region, context.random,
-                                                   self.forwarder.chooser.rtt_ms)
+
+            self.forwarder.chooser.steering = Steering(
+                context.settings.bounds,
+                context.settings.region,
+                context.random,
+                self.forwarder.chooser.rtt_ms,
+            )
         self.life = f"{context.random.getrandbits(32):08x}"
         if "usage_report" in context.settings.duties:
             self.forwarder.counts = WindowCounts(context.settings.bounds)
         self.interval_ms = context.settings.bounds.contact_ms / 4.0
-        self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.zones)
+        self.membership.placer = lambda members, table, moves: place(
+            members, table, moves, context.settings.zones
+        )
         self.membership.serial_hook = self.serial_heard
         self.membership.change_hooks.append(self.members_changed)
         self.board.on(wire.FEED, self.on_feed)
@@ -59,7 +79,9 @@
         self.read_policy()
         listen = self.context.settings.listen
         if "ready" in listen:
-            self.context.listen(listen["ready"], lambda: CallConnection(self.context, self.readiness))
+            self.context.listen(
+                listen["ready"], lambda: CallConnection(self.context, self.readiness)
+            )
         self.context.listen(listen["front"], lambda: ClientConnection(self.forwarder), self.fronted)
         self.tick()
 
@@ -68,12 +90,15 @@
         self.read_policy()
 
     def read_policy(self):
-        """Takes the policy that the settings name; one that can't be used leaves the built-in choice."""
+        """Takes the policy that the settings name; one that can't be used leaves the built-in
+        choice.
+        """
         path = self.context.settings.policy_path
         if not path:
             self.forwarder.chooser.policy = None
             return
         from stagevale.balancing.policies import PolicyFailure, load_policy
+
         try:
             self.forwarder.chooser.policy = load_policy(path, self.context.log)
             self.context.log.info("policy: %s is in use.", path)
@@ -85,7 +110,9 @@
         self.front_server = server
 
     def ready(self):
-        """True once this proxy can serve: it has a configuration and knows endpoints, and doesn't leave."""
+        """True once this proxy can serve: it has a configuration and knows endpoints, and doesn't
+        leave.
+        """
         return bool(self.forwarder.snapshot.hosts) and self.lives_heard and not self.ending
 
     def readiness(self, method, segments, query, body, answer):
@@ -103,15 +130,26 @@
         settings = self.context.settings
         members = {member.address: member for member in self.membership.members("registry")}
         table = list(self.membership.state.table.get("feeds-" + settings.zone, ()))
-        rest = sorted(members.values(), key=lambda member: (member.zone != settings.zone,
-                                                            member.region != settings.region, member.address))
+        rest = sorted(
+            members.values(),
+            key=lambda member: (
+                member.zone != settings.zone,
+                member.region != settings.region,
+                member.address,
+            ),
+        )
         order = table + [member.address for member in rest]
         alike = sorted(settings.seeds, key=lambda ip: -len(os.path.commonprefix((ip, settings.ip))))
         order += [f"{ip}:{settings.inner_ports[0]}" for ip in alike]
         order = list(dict.fromkeys(order))
         now_ms = self.context.now_ms()
-        return sorted(order, key=lambda address: (now_ms < self.shunned.get(address, 0),
-                                                  not self.membership.reachable(address)))
+        return sorted(
+            order,
+            key=lambda address: (
+                now_ms < self.shunned.get(address, 0),
+                not self.membership.reachable(address),
+            ),
+        )
 
     def tick(self):
         """Keeps the subscription alive, or looks for another feeder."""
@@ -129,12 +167,17 @@
                 return
             self.feeder = feeders[0]
             self.feeder_heard_ms = now_ms
-            self.subscribe(-1 if not self.forwarder.snapshot.hosts else self.forwarder.snapshot.serial, True)
+            self.subscribe(
+                -1 if not self.forwarder.snapshot.hosts else self.forwarder.snapshot.serial, True
+            )
         else:
             best = self.feeders()[0]
             table = self.membership.state.table.get("feeds-" + self.context.settings.zone, ())
-            if best != self.feeder and self.subscribed and (best in table and self.feeder not in table
-                                                            or not table and self.nearer(best)):
+            if (
+                best != self.feeder
+                and self.subscribed
+                and (best in table and self.feeder not in table or not table and self.nearer(best))
+            ):
                 self.board.cast(self.feeder, wire.UNSUBSCRIBE, [])
                 self.feeder = best
                 self.feeder_heard_ms = now_ms
@@ -146,8 +189,11 @@
         """Before there is a table: a registry of the own zone goes over one of another."""
         members = self.membership.state.members
         zone = self.context.settings.zone
-        return best in members and members[best].zone == zone and (
-            self.feeder not in members or members[self.feeder].zone != zone)
+        return (
+            best in members
+            and members[best].zone == zone
+            and (self.feeder not in members or members[self.feeder].zone != zone)
+        )
 
     def subscribe(self, serial, anew):
         listen = self.context.settings.listen["front"]
@@ -155,18 +201,38 @@
         now_ms = self.context.now_ms()
         report = []
         if self.subscribed and now_ms - self.reported_ms > REPORT_ROUNDS * self.interval_ms:
-            report = [int(now_ms - self.reported_ms), self.forwarder.take_flows(),
-                      [[target.id, round(target.speed, 2)] for target in self.targets.values() if target.speed != 1.0],
-                      [[region, round(rtt_ms, 1)] for region, rtt_ms in self.forwarder.chooser.rtt_ms.items()]]
+            report = [
+                int(now_ms - self.reported_ms),
+                self.forwarder.take_flows(),
+                [
+                    [target.id, round(target.speed, 2)]
+                    for target in self.targets.values()
+                    if target.speed != 1.0
+                ],
+                [
+                    [region, round(rtt_ms, 1)]
+                    for region, rtt_ms in self.forwarder.chooser.rtt_ms.items()
+                ],
+            ]
             if self.forwarder.holdings is not None:
                 report.append(self.forwarder.holdings.counts)
             if self.forwarder.chooser.steering is not None:
                 report += [{}] * (5 - len(report)) + [self.forwarder.chooser.steering.rows(now_ms)]
             self.reported_ms = now_ms
         table = self.forwarder.snapshot.partners
-        self.board.cast(self.feeder, wire.SUBSCRIBE, [f"{listen[0]}:{listen[1]}", settings.zone, settings.region,
-                                                      self.ready(), serial if not anew else min(serial, -1), report]
-                        + ([self.forwarder.snapshot.serial, table.mark] if table.rows else []))
+        self.board.cast(
+            self.feeder,
+            wire.SUBSCRIBE,
+            [
+                f"{listen[0]}:{listen[1]}",
+                settings.zone,
+                settings.region,
+                self.ready(),
+                serial if not anew else min(serial, -1),
+                report,
+            ]
+            + ([self.forwarder.snapshot.serial, table.mark] if table.rows else []),
+        )
         self.tell_counts(anew)
 
     def tell_counts(self, everything):
@@ -174,8 +240,11 @@
         counts = self.forwarder.counts
         if counts is None or counts.offset_ms is None or self.feeder is None:
             return
-        self.board.cast(self.feeder, wire.USAGE, [self.life, counts.true_ms(self.context.now_ms()),
-                                                  counts.rows(everything)])
+        self.board.cast(
+            self.feeder,
+            wire.USAGE,
+            [self.life, counts.true_ms(self.context.now_ms()), counts.rows(everything)],
+        )
 
     def change_feeder(self, why):
         self.context.log.info("proxy: feeder %s is left: %s.", self.feeder, why)
@@ -225,7 +294,9 @@
                 for zone in before - snapshot.evacuated:
                     self.taken_back(zone, snapshot, now_ms)
                 self.membership.serial = value.serial
-                self.context.log.info("proxy: version %d is in force, configuration r%d.", value.serial, value.version)
+                self.context.log.info(
+                    "proxy: version %d is in force, configuration r%d.", value.serial, value.version
+                )
         for row in rows:
             self.take_life(life_from_fields(row, now_ms), now_ms, snapshot)
         if rows:
@@ -236,19 +307,25 @@
         self.forwarder.snapshot = snapshot
         if snapshot.sessions and self.forwarder.holdings is None:
             from stagevale.affinity.holding import Holdings
-            self.forwarder.holdings = Holdings(self.context, self.board, self.forwarder, self.membership)
+
+            self.forwarder.holdings = Holdings(
+                self.context, self.board, self.forwarder, self.membership
+            )
         if (snapshot.partners.rows or snapshot.rollouts) and not self.asking:
             self.asking = True
             self.ask_lease()
         if self.ready() != was_ready:
-            self.context.log.info("proxy: %s.", "ready to serve" if self.ready() else "no longer ready to serve")
+            self.context.log.info(
+                "proxy: %s.", "ready to serve" if self.ready() else "no longer ready to serve"
+            )
             if self.feeder is not None:
                 self.subscribe(snapshot.serial, False)
         self.forwarder.pump_all()
 
     def ask_lease(self):
-        """While partners offer anything or a rollout is on: asks the feeder again and again whether this snapshot is the
-        newest, and now and then tells what became of requests under rollouts."""
+        """While partners offer anything or a rollout is on: asks the feeder again and again whether
+        this snapshot is the newest, and now and then tells what became of requests under rollouts.
+        """
         snapshot = self.forwarder.snapshot
         if not snapshot.partners.rows and not snapshot.rollouts:
             self.asking = False
@@ -259,8 +336,15 @@
             told = []
             self.asks += 1
             if snapshot.rollouts and self.asks % OUTCOMES_EVERY == 0:
-                told = [self.life, self.forwarder.outcomes.rows(snapshot.rollouts) if self.forwarder.outcomes else []]
-            self.board.cast(self.feeder, wire.LEASE_WANTED, [lease.ask(self.context.now_ms()), *told])
+                told = [
+                    self.life,
+                    self.forwarder.outcomes.rows(snapshot.rollouts)
+                    if self.forwarder.outcomes
+                    else [],
+                ]
+            self.board.cast(
+                self.feeder, wire.LEASE_WANTED, [lease.ask(self.context.now_ms()), *told]
+            )
 
     def on_lease(self, peer, body, reply):
         ask_no, newest = body
@@ -274,7 +358,9 @@
         for target in self.targets.values():
             service = snapshot.services.get(target.service)
             if target.zone == zone and service is not None:
-                target.cold_until_ms = max(target.cold_until_ms, now_ms + service.warmup_ms + self.context.settings.beat_ms)
+                target.cold_until_ms = max(
+                    target.cold_until_ms, now_ms + service.warmup_ms + self.context.settings.beat_ms
+                )
 
     def take_life(self, life, now_ms, snapshot):
         """Takes in what is told of one life; drained, left and unhealthy ones get nothing new."""
@@ -288,8 +374,9 @@
             return
         if target is None:
             region = self.context.settings.zones.get(life.zone, "")
-            target = self.targets[life.id] = Target(life.id, life.service, life.address, life.zone, region, life.slots,
-                                                    life.software)
+            target = self.targets[life.id] = Target(
+                life.id, life.service, life.address, life.zone, region, life.slots, life.software
+            )
         if life.state != READY and target.state == READY:
             target.state = life.state
             for connection in list(target.idle):
@@ -312,7 +399,10 @@
         return {service: tuple(targets) for service, targets in tables.items()}
 
     def members_changed(self):
-        proxies = tuple((member.address, member.zone, member.region) for member in self.membership.members("proxy"))
+        proxies = tuple(
+            (member.address, member.zone, member.region)
+            for member in self.membership.members("proxy")
+        )
         if proxies != self.forwarder.snapshot.proxies:
             self.forwarder.snapshot = self.forwarder.snapshot.with_proxies(proxies)
 
@@ -337,7 +427,9 @@
         self.context.after(20, super().finish)
 
     def close_front(self):
-        """Takes no new connections; those that are idle end, the others end with their last answer."""
+        """Takes no new connections; those that are idle end, the others end with their last
+        answer.
+        """
         if self.front_server is not None:
             self.front_server.close()
         for connection in list(self.forwarder.connections):
--- a/stagevale/programs/registry.py
+++ b/stagevale/programs/registry.py
@@ -1,4 +1,7 @@
-"""The registry: serves control and directory, knows the endpoints, feeds the proxies, forwards orders."""
+"""The registry: serves control and directory, knows the endpoints, feeds the proxies, forwards
+orders.
+"""
+
 import os
 
 from stagevale.configuration.disk import DiskRegister, Folder
@@ -25,7 +28,9 @@
         self.desk = Desk(context, self.board, self.membership)
         self.duties = None
         self.dispatch = dispatcher(context, self.desk, bounds.ttl_max_s * TTL_SHARE)
-        self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.zones)
+        self.membership.placer = lambda members, table, moves: place(
+            members, table, moves, context.settings.zones
+        )
 
     def begin(self):
         super().begin()
@@ -48,12 +53,15 @@
         return folder
 
     def take_part(self, disk):
-        """Takes part in the duties at the platform; without any in the settings this costs nothing."""
+        """Takes part in the duties at the platform; without any in the settings this costs
+        nothing.
+        """
         desk = self.desk
         desk.true_time = TrueTime(self.context, desk.core_size)
         desk.ledger = Ledger(self.context.settings.bounds, lambda: list(desk.subscribers))
-        self.duties = desk.duties = DutyKeeper(self.context, self.board, self.membership, disk, desk.ledger,
-                                               desk.true_time)
+        self.duties = desk.duties = DutyKeeper(
+            self.context, self.board, self.membership, disk, desk.ledger, desk.true_time
+        )
         self.duties.start()
 
     def open_disk(self, folder):
--- a/stagevale/programs/store.py
+++ b/stagevale/programs/store.py
@@ -1,4 +1,5 @@
 """The store: keeps the configuration and the evacuations on disk; serves nothing outside."""
+
 import os
 
 from stagevale.configuration.keeping import Keeper
@@ -17,7 +18,9 @@
         folder = os.path.join(context.settings.data_path or ".", "store")
         os.makedirs(folder, exist_ok=True)
         self.keeper = Keeper(context, self.board, self.membership, DiskRegister(Folder(folder)))
-        self.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.zones)
+        self.membership.placer = lambda members, table, moves: place(
+            members, table, moves, context.settings.zones
+        )
 
     def begin(self):
         super().begin()
--- a/stagevale/registrations/__init__.py
+++ b/stagevale/registrations/__init__.py
@@ -1,4 +1,5 @@
 """Registrations: the lives of endpoints, merged by (life, callSeq), with drain and leave sticky."""
+
 import struct
 import zlib
 
@@ -11,11 +12,37 @@
 class Life:
     """One life of an endpoint as it is known here. Immutable by custom."""
 
-    __slots__ = ("id", "service", "address", "zone", "slots", "state", "call_seq", "unhealthy_at", "cold_seq", "cold_ms",
-                 "heard_ms", "software", "kept_mark")
-
-    def __init__(self, id, service, address, zone, slots, state, call_seq, unhealthy_at, cold_seq, cold_ms, heard_ms=0.0,
-                 software=""):
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "state",
+        "call_seq",
+        "unhealthy_at",
+        "cold_seq",
+        "cold_ms",
+        "heard_ms",
+        "software",
+        "kept_mark",
+    )
+
+    def __init__(
+        self,
+        id,
+        service,
+        address,
+        zone,
+        slots,
+        state,
+        call_seq,
+        unhealthy_at,
+        cold_seq,
+        cold_ms,
+        heard_ms=0.0,
+        software="",
+    ):
         self.id = id
         self.service = service
         self.address = address
@@ -36,9 +63,22 @@
         return self.call_seq > self.unhealthy_at
 
     def fields(self, now_ms):
-        """The life for a message; what is left of the cold time travels, not the moment of its end."""
-        return [self.id, self.service, self.address, self.zone, self.slots, self.state, self.call_seq,
-                self.unhealthy_at, self.cold_seq, max(0, int(self.cold_ms - (now_ms - self.heard_ms))), self.software]
+        """The life for a message; what is left of the cold time travels, not the moment of its
+        end.
+        """
+        return [
+            self.id,
+            self.service,
+            self.address,
+            self.zone,
+            self.slots,
+            self.state,
+            self.call_seq,
+            self.unhealthy_at,
+            self.cold_seq,
+            max(0, int(self.cold_ms - (now_ms - self.heard_ms))),
+            self.software,
+        ]
 
     def known(self):
         """What the proxies need to know; two lives with equal answers need no push."""
@@ -58,7 +98,11 @@
 def life_from_fields(row, now_ms):
     """A life out of a message; a misshapen one raises ValueError or its kin."""
     life = Life(*row[:10], heard_ms=now_ms, software=row[10] if len(row) > 10 else "")
-    if not (isinstance(life.id, str) and isinstance(life.address, str) and life.state in (READY, DRAINING, GONE)):
+    if not (
+        isinstance(life.id, str)
+        and isinstance(life.address, str)
+        and life.state in (READY, DRAINING, GONE)
+    ):
         raise ValueError("life")
     int(life.call_seq), int(life.unhealthy_at), int(life.cold_ms), int(life.slots)
     return life
@@ -77,7 +121,9 @@
         self.marks = {}
 
     def merge(self, comer, now_ms):
-        """Takes in what is told of a life; returns the life as it is now known if that is news, else None."""
+        """Takes in what is told of a life; returns the life as it is now known if that is news,
+        else None.
+        """
         known = self.by_id.get(comer.id)
         if known is None:
             self.put(comer)
@@ -89,8 +135,20 @@
         unhealthy_at = max(known.unhealthy_at, comer.unhealthy_at)
         colder = comer if comer.cold_seq > known.cold_seq else known
         cold_left_ms = colder.cold_ms - (now_ms - colder.heard_ms)
-        after = Life(known.id, known.service, newer.address, newer.zone, newer.slots, state, newer.call_seq,
-                     unhealthy_at, colder.cold_seq, max(0, cold_left_ms), now_ms, known.software or comer.software)
+        after = Life(
+            known.id,
+            known.service,
+            newer.address,
+            newer.zone,
+            newer.slots,
+            state,
+            newer.call_seq,
+            unhealthy_at,
+            colder.cold_seq,
+            max(0, cold_left_ms),
+            now_ms,
+            known.software or comer.software,
+        )
         news = after.known() != known.known()
         if not news:
             after.kept_mark = known.kept_mark
@@ -100,12 +158,17 @@
         return after if news else None
 
     def put(self, life):
-        """Keeps a life; the mark of its part follows entry by entry, so that a beat costs the same in any fleet."""
+        """Keeps a life; the mark of its part follows entry by entry, so that a beat costs the same
+        in any fleet.
+        """
         before = self.by_id.get(life.id)
         part = part_of(life.service)
         if before is None or before.mark() != life.mark():
-            self.marks[part] = (self.mark(part) + (life.mark() if life.counts() else 0)
-                                - (before.mark() if before is not None and before.counts() else 0)) & 0xFFFFFFFF
+            self.marks[part] = (
+                self.mark(part)
+                + (life.mark() if life.counts() else 0)
+                - (before.mark() if before is not None and before.counts() else 0)
+            ) & 0xFFFFFFFF
         self.by_id[life.id] = life
         self.by_key[zlib.crc32(life.id.encode())] = life
         self.parts.setdefault(part, {})[life.id] = life
@@ -113,7 +176,11 @@
     def forget(self, gone_before_ms, unheard_before_ms):
         """Drops lives that left, and unhealthy ones that were last heard, before these moments."""
         old = [id for id, since_ms in self.gone_ms.items() if since_ms < gone_before_ms]
-        old += [life.id for life in self.by_id.values() if not life.healthy and life.heard_ms < unheard_before_ms]
+        old += [
+            life.id
+            for life in self.by_id.values()
+            if not life.healthy and life.heard_ms < unheard_before_ms
+        ]
         for id in old:
             self.gone_ms.pop(id, None)
             life = self.by_id.pop(id, None)
@@ -125,7 +192,9 @@
                     self.marks[part] = (self.mark(part) - life.mark()) & 0xFFFFFFFF
 
     def mark(self, part):
-        """A short number equal for equal knowledge of a part; gone and unhealthy lives don't count."""
+        """A short number equal for equal knowledge of a part; gone and unhealthy lives don't
+        count.
+        """
         return self.marks.get(part, 0)
 
     def mark_of_all(self):
@@ -137,12 +206,15 @@
 
     def summary(self, part):
         """The lives of a part as eight bytes each: which one, and what is known of it."""
-        return b"".join(SUMMARY_ROW.pack(zlib.crc32(id.encode()), life.mark())
-                        for id, life in self.parts.get(part, {}).items())
+        return b"".join(
+            SUMMARY_ROW.pack(zlib.crc32(id.encode()), life.mark())
+            for id, life in self.parts.get(part, {}).items()
+        )
 
     def differing(self, part, summary, now_ms):
-        """What a peer with this summary of a part lacks or knows otherwise, as rows; and the keys of what differs or
-        is unknown here."""
+        """What a peer with this summary of a part lacks or knows otherwise, as rows; and the keys
+        of what differs or is unknown here.
+        """
         theirs = dict(SUMMARY_ROW.iter_unpack(summary))
         rows = []
         for id, life in self.parts.get(part, {}).items():
--- a/stagevale/registrations/calls.py
+++ b/stagevale/registrations/calls.py
@@ -1,4 +1,7 @@
-"""The calls of endpoints, operators and clients that ask where to go: one dispatch on method and path segments."""
+"""The calls of endpoints, operators and clients that ask where to go: one dispatch on method and
+path segments.
+"""
+
 import asyncio
 import json
 from urllib.parse import parse_qs, unquote
@@ -15,7 +18,18 @@
 class CallConnection(asyncio.Protocol):
     """One connection of a caller; calls are answered one after the other."""
 
-    __slots__ = ("context", "dispatch", "transport", "parser", "request", "body", "size", "busy", "timer", "idle_ms")
+    __slots__ = (
+        "context",
+        "dispatch",
+        "transport",
+        "parser",
+        "request",
+        "body",
+        "size",
+        "busy",
+        "timer",
+        "idle_ms",
+    )
 
     def __init__(self, context, dispatch):
         self.context = context
@@ -59,7 +73,9 @@
                 if isinstance(event, h11.Request):
                     self.request, self.body, self.size = event, [], 0
                     if self.parser.they_are_waiting_for_100_continue:
-                        self.transport.write(self.parser.send(h11.InformationalResponse(status_code=100, headers=[])))
+                        self.transport.write(
+                            self.parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+                        )
                 elif isinstance(event, h11.Data):
                     self.size += len(event.data)
                     if self.size > BODY_BYTES:
@@ -86,16 +102,25 @@
             if not answered:
                 answered.append(status)
                 self.answer(status, body)
+
         try:
-            self.dispatch(self.request.method.decode("latin-1"), segments, query, b"".join(self.body), answer)
+            self.dispatch(
+                self.request.method.decode("latin-1"), segments, query, b"".join(self.body), answer
+            )
         except Exception as failure:
-            self.context.log.error("calls: %s %s failed: %r.", self.request.method.decode("latin-1"), path, failure)
+            self.context.log.error(
+                "calls: %s %s failed: %r.", self.request.method.decode("latin-1"), path, failure
+            )
             answer(500, {"error": "this call failed here"})
 
     def answer(self, status, body, close=False):
         if self.transport.is_closing():
             return
-        data = body.encode() if isinstance(body, str) else json.dumps(body, separators=(",", ":")).encode()
+        data = (
+            body.encode()
+            if isinstance(body, str)
+            else json.dumps(body, separators=(",", ":")).encode()
+        )
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
         if close or self.context.stopping:
             headers.append(("Connection", "close"))
@@ -133,8 +158,13 @@
     address = table.get("address")
     ip, colon, port = address.rpartition(":") if isinstance(address, str) else ("", "", "")
     numbers = ip.split(".")
-    if not colon or not port.isdigit() or not 0 < int(port) < 65536 or len(numbers) != 4 or \
-            not all(number.isdigit() and int(number) < 256 for number in numbers):
+    if (
+        not colon
+        or not port.isdigit()
+        or not 0 < int(port) < 65536
+        or len(numbers) != 4
+        or not all(number.isdigit() and int(number) < 256 for number in numbers)
+    ):
         raise Failure(f"address: want ip:port, got {address!r}")
     for place, field in ((details, "service"), (details, "zone"), (status, "state")):
         if not isinstance(place.get(field), str) or not place[field]:
@@ -143,9 +173,17 @@
     if not isinstance(version, str) or len(version) > 200:
         raise Failure(f"version: want a text of at most 200 characters, got {version!r}")
     status.setdefault("coldLeftMs", 0)
-    for place, field, least in ((details, "slots", 1), (status, "callSeq", 0), (status, "coldLeftMs", 0)):
+    for place, field, least in (
+        (details, "slots", 1),
+        (status, "callSeq", 0),
+        (status, "coldLeftMs", 0),
+    ):
         value = place.get(field)
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < 2 ** 53:
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, (int, float))
+            or not least <= value < 2**53
+        ):
             raise Failure(f"{field}: want a number from {least}, got {value!r}")
         place[field] = int(value)
     if status["state"] not in ("ready", "draining"):
@@ -212,7 +250,9 @@
                 return answer(405, {"error": "want POST"})
             if shape[1] not in zones:
                 return answer(404, {"error": f"no zone {shape[1]}"})
-            return desk.order("evacuate" if shape[2] == "begin" else "takeBack", shape[1], ordered(answer))
+            return desk.order(
+                "evacuate" if shape[2] == "begin" else "takeBack", shape[1], ordered(answer)
+            )
         return answer(404, {"error": "no such call"})
 
     def partner_call(method, shape, query, body, answer):
@@ -267,6 +307,7 @@
                 answer(200, text or {})
             else:
                 answer(status, {"error": text})
+
         return give
 
     return dispatch
--- a/stagevale/registrations/desk.py
+++ b/stagevale/registrations/desk.py
@@ -1,4 +1,7 @@
-"""The registry's desk: takes beats and leaves, spreads news along placement, feeds the proxies, repairs."""
+"""The registry's desk: takes beats and leaves, spreads news along placement, feeds the proxies,
+repairs.
+"""
+
 import json
 import os
 import struct
@@ -20,8 +23,19 @@
 class Subscriber:
     """A proxy that this registry feeds."""
 
-    __slots__ = ("address", "front", "zone", "region", "ready", "serial", "heard_ms", "waiting", "welcomed", "report",
-                 "table")
+    __slots__ = (
+        "address",
+        "front",
+        "zone",
+        "region",
+        "ready",
+        "serial",
+        "heard_ms",
+        "waiting",
+        "welcomed",
+        "report",
+        "table",
+    )
 
     def __init__(self, address, front, zone, region, ready, serial, heard_ms):
         self.address = address
@@ -38,13 +52,49 @@
 
 
 class Desk:
-    """One registry's knowledge of endpoints, proxies and the chosen configuration, and how it spreads."""
-
-    __slots__ = ("context", "board", "membership", "lives", "value", "value_heard_ms", "subscribers", "attached",
-                 "ping_heard_ms", "voter", "owners", "rounds", "life", "heard_ids", "pulling", "interval_ms", "ports",
-                 "started_ms", "stopping", "moves_running", "round_no", "disk", "saved_mark", "saving", "true_time", "ledger",
-                 "duties", "unfed", "feeding", "unannounced", "welcoming", "lease_askers", "confirming", "partners", "sessions", "open_log",
-                 "outcomes")
+    """One registry's knowledge of endpoints, proxies and the chosen configuration, and how it
+    spreads.
+    """
+
+    __slots__ = (
+        "context",
+        "board",
+        "membership",
+        "lives",
+        "value",
+        "value_heard_ms",
+        "subscribers",
+        "attached",
+        "ping_heard_ms",
+        "voter",
+        "owners",
+        "rounds",
+        "life",
+        "heard_ids",
+        "pulling",
+        "interval_ms",
+        "ports",
+        "started_ms",
+        "stopping",
+        "moves_running",
+        "round_no",
+        "disk",
+        "saved_mark",
+        "saving",
+        "true_time",
+        "ledger",
+        "duties",
+        "unfed",
+        "feeding",
+        "unannounced",
+        "welcoming",
+        "lease_askers",
+        "confirming",
+        "partners",
+        "sessions",
+        "open_log",
+        "outcomes",
+    )
 
     def __init__(self, context, board, membership):
         self.context = context
@@ -82,14 +132,24 @@
         self.sessions = None
         self.open_log = self.session_log
         self.true_time = self.ledger = self.duties = None
-        for kind, handler in ((wire.LIVES, self.on_lives), (wire.HEARD, self.on_heard), (wire.PING, self.on_ping),
-                              (wire.PART_WANTED, self.on_part_wanted), (wire.CANVASS, self.on_canvass),
-                              (wire.HANDOFF, self.on_handoff), (wire.CHOSEN, self.on_chosen),
-                              (wire.BEACON, self.on_beacon), (wire.SUBSCRIBE, self.on_subscribe),
-                              (wire.UNSUBSCRIBE, self.on_unsubscribe), (wire.PULL, self.on_pull),
-                              (wire.ATTACHED, self.on_attached), (wire.ATTACHED_WANTED, self.on_attached_wanted),
-                              (wire.READ_VALUE, self.on_value_wanted), (wire.USAGE, self.on_usage),
-                              (wire.LEASE_WANTED, self.on_lease_wanted)):
+        for kind, handler in (
+            (wire.LIVES, self.on_lives),
+            (wire.HEARD, self.on_heard),
+            (wire.PING, self.on_ping),
+            (wire.PART_WANTED, self.on_part_wanted),
+            (wire.CANVASS, self.on_canvass),
+            (wire.HANDOFF, self.on_handoff),
+            (wire.CHOSEN, self.on_chosen),
+            (wire.BEACON, self.on_beacon),
+            (wire.SUBSCRIBE, self.on_subscribe),
+            (wire.UNSUBSCRIBE, self.on_unsubscribe),
+            (wire.PULL, self.on_pull),
+            (wire.ATTACHED, self.on_attached),
+            (wire.ATTACHED_WANTED, self.on_attached_wanted),
+            (wire.READ_VALUE, self.on_value_wanted),
+            (wire.USAGE, self.on_usage),
+            (wire.LEASE_WANTED, self.on_lease_wanted),
+        ):
             board.on(kind, handler)
         board.lost_hooks.append(self.connection_lost)
         membership.change_hooks.append(self.placement_changed)
@@ -100,7 +160,9 @@
         self.context.after(self.interval_ms * 0.1, self.first_value)
 
     def remember(self, disk):
-        """Begins from the endpoints that this registry knew when it last ran: hints, until beats say more."""
+        """Begins from the endpoints that this registry knew when it last ran: hints, until beats
+        say more.
+        """
         self.disk = disk
 
         def loaded(record, failure):
@@ -114,6 +176,7 @@
             self.saved_mark = self.lives.mark_of_all()
             self.feed(list(self.lives.by_id.values()))
             self.context.log.info("registry: remembers %d endpoints.", len(self.lives.by_id))
+
         self.context.disk(disk.load, loaded)
 
     def keep(self):
@@ -123,13 +186,22 @@
             return
         self.saving = True
         now_ms = self.context.now_ms()
-        record = wire.pack([0, [life.fields(now_ms) for life in self.lives.by_id.values()
-                                if life.healthy and life.state != GONE]])
+        record = wire.pack(
+            [
+                0,
+                [
+                    life.fields(now_ms)
+                    for life in self.lives.by_id.values()
+                    if life.healthy and life.state != GONE
+                ],
+            ]
+        )
 
         def saved(_, failure):
             self.saving = False
             if failure is None:
                 self.saved_mark = mark
+
         self.context.disk(lambda: self.disk.save(record), saved)
 
     def first_value(self):
@@ -144,7 +216,9 @@
         return [member for member in self.membership.members("registry", (0, UP, LEAVING))]
 
     def group_of(self, part):
-        """The members that keep a part: by the placement table, or the shared seeds before there is one."""
+        """The members that keep a part: by the placement table, or the shared seeds before there is
+        one.
+        """
         group = self.membership.state.table.get(part)
         if group:
             return group
@@ -159,8 +233,11 @@
         now_ms = self.context.now_ms()
         machines = {member.machine for member in self.registries()}
         machines.add(self.membership.me.machine)
-        near = {address.rpartition(":")[0] for address, heard_ms in self.ping_heard_ms.items()
-                if now_ms - heard_ms < self.interval_ms * (1.8 if self.near(address) else 2.6)}
+        near = {
+            address.rpartition(":")[0]
+            for address, heard_ms in self.ping_heard_ms.items()
+            if now_ms - heard_ms < self.interval_ms * (1.8 if self.near(address) else 2.6)
+        }
         near.add(self.membership.me.machine)
         return len(near & machines) * 2 > len(machines)
 
@@ -168,6 +245,7 @@
         """Where session records are kept on this machine's disk."""
         from stagevale.affinity.log import SessionLog
         from stagevale.configuration.disk import Folder
+
         folder = os.path.join(self.context.settings.data_path, "sessions")
         os.makedirs(folder, exist_ok=True)
         return SessionLog(Folder(folder))
@@ -188,13 +266,28 @@
         """A heartbeat; `answer(status, body)` is called once it is taken, or refused."""
         now_ms = self.context.now_ms()
         details, status = table["details"], table["status"]
-        comer = Life(id, details["service"], table["address"], details["zone"], details["slots"],
-                     DRAINING if status["state"] == "draining" else READY, status["callSeq"], 0,
-                     status["callSeq"] if status["coldLeftMs"] > 0 else 0, status["coldLeftMs"], now_ms,
-                     details.get("version", ""))
+        comer = Life(
+            id,
+            details["service"],
+            table["address"],
+            details["zone"],
+            details["slots"],
+            DRAINING if status["state"] == "draining" else READY,
+            status["callSeq"],
+            0,
+            status["callSeq"] if status["coldLeftMs"] > 0 else 0,
+            status["coldLeftMs"],
+            now_ms,
+            details.get("version", ""),
+        )
         known = self.lives.by_id.get(id)
-        if known is not None and comer.cold_seq and known.cold_seq and self.cold_left_ms(known, now_ms) > 0 \
-                and comer.cold_ms <= self.cold_left_ms(known, now_ms) + self.interval_ms:
+        if (
+            known is not None
+            and comer.cold_seq
+            and known.cold_seq
+            and self.cold_left_ms(known, now_ms) > 0
+            and comer.cold_ms <= self.cold_left_ms(known, now_ms) + self.interval_ms
+        ):
             comer.cold_seq = known.cold_seq
         self.take_in(comer, answer)
 
@@ -207,8 +300,22 @@
         if known is None:
             answer(200, {})
             return
-        self.take_in(Life(id, known.service, known.address, known.zone, known.slots, GONE, known.call_seq, 0, 0, 0,
-                         self.context.now_ms()), answer)
+        self.take_in(
+            Life(
+                id,
+                known.service,
+                known.address,
+                known.zone,
+                known.slots,
+                GONE,
+                known.call_seq,
+                0,
+                0,
+                0,
+                self.context.now_ms(),
+            ),
+            answer,
+        )
 
     def take_in(self, comer, answer):
         now_ms = self.context.now_ms()
@@ -229,7 +336,9 @@
             answer(200, self.beat_answer(comer))
 
     def beat_answer(self, life):
-        """Names a registry of the endpoint's own zone for later beats, where this one is of another."""
+        """Names a registry of the endpoint's own zone for later beats, where this one is of
+        another.
+        """
         if life.zone == self.membership.me.zone or "control" not in self.context.settings.listen:
             return {}
         port = self.context.settings.listen["control"][1]
@@ -239,7 +348,9 @@
         return {}
 
     def spread(self, news, answer):
-        """Brings news to the group of its part and on to the proxies; `answer` waits for the group's majority."""
+        """Brings news to the group of its part and on to the proxies; `answer` waits for the
+        group's majority.
+        """
         now_ms = self.context.now_ms()
         self.feed(news)
         by_part = {}
@@ -268,15 +379,25 @@
                 elif held.lost():
                     held.over = True
                     answer(503, {"error": "the part's group can't be reached"})
+
             for address in others:
-                self.board.call(address, wire.LIVES, [rows, 0], self.interval_ms * 0.7,
-                                lambda reply, failure, peer=address: answered(peer, reply, failure))
+                self.board.call(
+                    address,
+                    wire.LIVES,
+                    [rows, 0],
+                    self.interval_ms * 0.7,
+                    lambda reply, failure, peer=address: answered(peer, reply, failure),
+                )
 
     def pass_on(self, part, lives):
-        """A member of a part's group passes news to the registries of its region, and the owner to the rest."""
+        """A member of a part's group passes news to the registries of its region, and the owner to
+        the rest.
+        """
         now_ms = self.context.now_ms()
         group = self.group_of(part)
-        regions = {self.region_of(address) for address in group if self.membership.reachable(address)}
+        regions = {
+            self.region_of(address) for address in group if self.membership.reachable(address)
+        }
         mine = self.membership.me.region
         rows = wire.pack_rows([life.fields(now_ms) for life in lives])
         for member in self.registries():
@@ -315,7 +436,19 @@
             known = self.lives.by_key.get(key)
             if known is None:
                 continue
-            comer = Life(known.id, known.service, known.address, known.zone, known.slots, READY, call_seq, 0, 0, 0, now_ms)
+            comer = Life(
+                known.id,
+                known.service,
+                known.address,
+                known.zone,
+                known.slots,
+                READY,
+                call_seq,
+                0,
+                0,
+                0,
+                now_ms,
+            )
             after = self.lives.merge(comer, now_ms)
             if after is not None:
                 back.append(after)
@@ -323,8 +456,10 @@
             self.spread(back, None)
 
     def feed(self, news):
-        """Pushes lives to the proxies that this registry feeds: at once what takes an endpoint away, the rest together
-        with what else comes within a moment, so that a proxy's work doesn't rise with the square of the endpoints."""
+        """Pushes lives to the proxies that this registry feeds: at once what takes an endpoint
+        away, the rest together with what else comes within a moment, so that a proxy's work doesn't
+        rise with the square of the endpoints.
+        """
         self.welcoming = 0.0, None
         if not self.subscribers:
             return
@@ -342,7 +477,9 @@
         if not news:
             return
         now_ms = self.context.now_ms()
-        rows = wire.pack_rows([self.lives.by_id.get(id, life).fields(now_ms) for id, life in news.items()])
+        rows = wire.pack_rows(
+            [self.lives.by_id.get(id, life).fields(now_ms) for id, life in news.items()]
+        )
         for subscriber in self.subscribers.values():
             if not subscriber.waiting:
                 self.board.cast(subscriber.address, wire.FEED, [0, b"", rows])
@@ -351,21 +488,30 @@
 
     def owns(self, part):
         """True where this registry won the duty for a part and the part is still placed on it."""
-        return self.owners.get(part, (None, 0))[0] == self.board.address and self.board.address in self.group_of(part)
+        return self.owners.get(part, (None, 0))[
+            0
+        ] == self.board.address and self.board.address in self.group_of(part)
 
     def canvass(self):
-        """Runs for the parts of whose group this registry is the first that may, where the duty is vacant."""
+        """Runs for the parts of whose group this registry is the first that may, where the duty is
+        vacant.
+        """
         vacant = []
         for part in PARTS:
             group = self.group_of(part)
             if self.board.address not in group or self.stopping:
                 continue
             owner = self.owners.get(part, (None, 0))[0]
-            if owner in group and (owner == self.board.address or self.membership.reachable(owner)
-                                   and self.live(owner)):
+            if owner in group and (
+                owner == self.board.address or self.membership.reachable(owner) and self.live(owner)
+            ):
                 continue
-            able = [address for address in group
-                    if address == self.board.address or (self.membership.reachable(address) and self.live(address))]
+            able = [
+                address
+                for address in group
+                if address == self.board.address
+                or (self.membership.reachable(address) and self.live(address))
+            ]
             if able and able[0] == self.board.address:
                 vacant.append(part)
         for part in vacant:
@@ -388,16 +534,27 @@
                     self.context.log.info("registry: won the duty for %s.", part)
                 elif running.lost():
                     running.over = True
+
             for address in group:
-                self.board.call(address, wire.CANVASS, [part, list(ballot)], self.interval_ms * 0.6,
-                                lambda answer, failure, peer=address, answered=answered: answered(peer, answer, failure))
+                self.board.call(
+                    address,
+                    wire.CANVASS,
+                    [part, list(ballot)],
+                    self.interval_ms * 0.6,
+                    lambda answer, failure, peer=address, answered=answered: answered(
+                        peer, answer, failure
+                    ),
+                )
 
     def live(self, address):
-        return (self.context.now_ms() - self.ping_heard_ms.get(address, -1e12)
-                < self.interval_ms * (1.5 if self.near(address) else 2.3))
+        return self.context.now_ms() - self.ping_heard_ms.get(address, -1e12) < self.interval_ms * (
+            1.5 if self.near(address) else 2.3
+        )
 
     def near(self, address):
-        """True for a registry of the own region; others ping half as often, since bytes between regions are dear."""
+        """True for a registry of the own region; others ping half as often, since bytes between
+        regions are dear.
+        """
         return self.region_of(address) == self.membership.me.region
 
     def on_canvass(self, peer, body, reply):
@@ -408,7 +565,9 @@
         reply([promised, list(highest)])
 
     def judge(self):
-        """The owner of a part declares lives unhealthy that no registry has heard for some beats."""
+        """The owner of a part declares lives unhealthy that no registry has heard for some
+        beats.
+        """
         now_ms = self.context.now_ms()
         if not self.in_contact() or now_ms - self.started_ms < self.context.settings.beat_ms * 4:
             return
@@ -420,9 +579,22 @@
             for life in list(self.lives.parts.get(part, {}).values()):
                 if life.state == GONE or not life.healthy or now_ms - life.heard_ms < limit_ms:
                     continue
-                unheard.append(Life(life.id, life.service, life.address, life.zone, life.slots, life.state,
-                                    life.call_seq, life.call_seq, life.cold_seq, life.cold_ms, life.heard_ms,
-                                    life.software))
+                unheard.append(
+                    Life(
+                        life.id,
+                        life.service,
+                        life.address,
+                        life.zone,
+                        life.slots,
+                        life.state,
+                        life.call_seq,
+                        life.call_seq,
+                        life.cold_seq,
+                        life.cold_ms,
+                        life.heard_ms,
+                        life.software,
+                    )
+                )
         news = []
         for life in unheard:
             known = self.lives.by_id[life.id]
@@ -438,18 +610,24 @@
     # rounds
 
     def tick(self):
-        self.context.after(self.interval_ms * 0.5 * self.context.random.uniform(0.95, 1.05), self.tick)
+        self.context.after(
+            self.interval_ms * 0.5 * self.context.random.uniform(0.95, 1.05), self.tick
+        )
         now_ms = self.context.now_ms()
         self.rounds += 1
         settings = self.context.settings
-        self.lives.forget(now_ms - settings.bounds.contact_ms * 10, now_ms - settings.bounds.contact_ms * 60)
+        self.lives.forget(
+            now_ms - settings.bounds.contact_ms * 10, now_ms - settings.bounds.contact_ms * 60
+        )
         serial = self.value.serial if self.value else -1
         self.announce_now()
         ping = [serial, [self.lives.mark_of_all()], self.attached_mark(self.my_attached())]
         if self.true_time is not None:
             ping.append(int(self.context.wall_ms()))
         for member in self.registries():
-            if member.address != self.board.address and (self.rounds % 2 or member.region == self.membership.me.region):
+            if member.address != self.board.address and (
+                self.rounds % 2 or member.region == self.membership.me.region
+            ):
                 self.board.cast(member.address, wire.PING, ping)
         if self.rounds % 2:
             self.tell_heard()
@@ -465,7 +643,9 @@
             self.board.cast(subscriber.address, wire.FEED_PING, self.feed_ping(serial, contact))
 
     def feed_ping(self, serial, contact):
-        """What a feeder says each round: its version, whether it is in touch, and, where duties want it, the agreed time."""
+        """What a feeder says each round: its version, whether it is in touch, and, where duties
+        want it, the agreed time.
+        """
         true_ms = self.true_time.now() if self.true_time is not None else None
         return [serial, 1 if contact else 0] + ([int(true_ms)] if true_ms is not None else [])
 
@@ -480,7 +660,9 @@
             for address in self.group_of(part):
                 if address != self.board.address:
                     told_to.setdefault(address, []).extend(
-                        HEARD_ROW.pack(zlib.crc32(id.encode()), seq & 0xFFFFFFFF) for id, seq in ids.items())
+                        HEARD_ROW.pack(zlib.crc32(id.encode()), seq & 0xFFFFFFFF)
+                        for id, seq in ids.items()
+                    )
         for address, heard in told_to.items():
             self.board.cast(address, wire.HEARD, b"".join(heard))
         self.heard_ids = {}
@@ -494,27 +676,52 @@
         if serial > (self.value.serial if self.value else -1):
             self.board.call(peer, wire.READ_VALUE, [], self.interval_ms, self.got_value)
         if attached_mark != self.attached_mark(self.attached.get(peer, ())):
-            self.board.call(peer, wire.ATTACHED_WANTED, [], self.interval_ms,
-                            lambda answer, failure: failure is None and answer is not None
-                            and self.got_attached(peer, answer))
+            self.board.call(
+                peer,
+                wire.ATTACHED_WANTED,
+                [],
+                self.interval_ms,
+                lambda answer, failure: (
+                    failure is None and answer is not None and self.got_attached(peer, answer)
+                ),
+            )
         if len(marks) == 1:
             member = self.membership.state.members.get(peer)
             near = member is not None and member.region == self.membership.me.region
-            if marks[0] != self.lives.mark_of_all() and (near or self.context.random.random() < 0.3):
-                self.board.cast(peer, wire.PING, [serial if self.value is None else self.value.serial,
-                                                  [self.lives.mark(part) for part in PARTS],
-                                                  self.attached_mark(self.my_attached())])
+            if marks[0] != self.lives.mark_of_all() and (
+                near or self.context.random.random() < 0.3
+            ):
+                self.board.cast(
+                    peer,
+                    wire.PING,
+                    [
+                        serial if self.value is None else self.value.serial,
+                        [self.lives.mark(part) for part in PARTS],
+                        self.attached_mark(self.my_attached()),
+                    ],
+                )
             return
-        wanted = [number for number, part in enumerate(PARTS)
-                  if number < len(marks) and marks[number] != self.lives.mark(part)]
+        wanted = [
+            number
+            for number, part in enumerate(PARTS)
+            if number < len(marks) and marks[number] != self.lives.mark(part)
+        ]
         if wanted:
             summaries = [self.lives.summary(PARTS[number]) for number in wanted]
-            self.board.call(peer, wire.PART_WANTED, [wanted, summaries], self.interval_ms,
-                            lambda answer, failure: failure is None and answer is not None
-                            and self.got_part(peer, wanted, answer))
+            self.board.call(
+                peer,
+                wire.PART_WANTED,
+                [wanted, summaries],
+                self.interval_ms,
+                lambda answer, failure: (
+                    failure is None and answer is not None and self.got_part(peer, wanted, answer)
+                ),
+            )
 
     def on_part_wanted(self, peer, body, reply):
-        """Repair: answers with what differs here from another's summary of some parts, and with what is wanted of it."""
+        """Repair: answers with what differs here from another's summary of some parts, and with
+        what is wanted of it.
+        """
         now_ms = self.context.now_ms()
         rows, keys = [], []
         for number, summary in zip(*body):
@@ -524,7 +731,9 @@
         reply([wire.pack_rows(rows), keys])
 
     def got_part(self, peer, wanted, answer):
-        """The answer to a summary: takes in what differs there and sends what is wanted from here."""
+        """The answer to a summary: takes in what differs there and sends what is wanted from
+        here.
+        """
         rows, keys = answer
         now_ms = self.context.now_ms()
         mine = [self.lives.by_key[key].fields(now_ms) for key in keys if key in self.lives.by_key]
@@ -538,7 +747,11 @@
     def move_parts(self):
         """Hands over the parts that pending moves take from this registry."""
         for move in self.membership.state.moves:
-            if move.giver != self.board.address or move.status != AWAITING or move.key() in self.moves_running:
+            if (
+                move.giver != self.board.address
+                or move.status != AWAITING
+                or move.key() in self.moves_running
+            ):
                 continue
             self.moves_running.add(move.key())
 
@@ -546,11 +759,15 @@
                 self.moves_running.discard(move.key())
                 if failure is None and answer:
                     self.membership.complete_move(move)
+
             rows = wire.pack_rows(self.lives.rows(move.part, self.context.now_ms()))
             self.board.call(move.taker, wire.HANDOFF, [move.part, rows], self.interval_ms, ready)
         if self.stopping:
-            mine = any(self.board.address in group for part, group in self.membership.state.table.items()
-                       if part in PARTS)
+            mine = any(
+                self.board.address in group
+                for part, group in self.membership.state.table.items()
+                if part in PARTS
+            )
             if not mine:
                 self.membership.exit()
 
@@ -577,13 +794,18 @@
         if value.sessions:
             if self.sessions is None:
                 from stagevale.affinity.keeping import SessionKeeper
+
                 self.sessions = SessionKeeper(self.context, self.board, self.open_log())
             self.sessions.configure(value.sessions)
         for subscriber in self.subscribers.values():
             self.feed_value(subscriber)
 
     def feed_value(self, subscriber):
-        if self.value is not None and subscriber.serial < self.value.serial and not subscriber.waiting:
+        if (
+            self.value is not None
+            and subscriber.serial < self.value.serial
+            and not subscriber.waiting
+        ):
             subscriber.serial = self.value.serial
             self.board.cast(subscriber.address, wire.FEED, [1, self.value.packed, b""])
 
@@ -595,7 +817,9 @@
             self.pull_value()
 
     def confirmed(self):
-        """The value held here is the newest that a majority knows: proxies that waited for that are fed."""
+        """The value held here is the newest that a majority knows: proxies that waited for that are
+        fed.
+        """
         self.value_heard_ms = self.context.now_ms()
         for subscriber in list(self.subscribers.values()):
             if subscriber.waiting:
@@ -606,9 +830,15 @@
             self.pull_value()
 
     def stores(self):
-        """Stores to ask: the one beside this registry first, then those of members, then the seeds' ones."""
+        """Stores to ask: the one beside this registry first, then those of members, then the seeds'
+        ones.
+        """
         addresses = [f"{self.membership.me.machine}:{self.ports[0] + 1}"]
-        members = [member for member in self.membership.members("store") if self.membership.reachable(member.address)]
+        members = [
+            member
+            for member in self.membership.members("store")
+            if self.membership.reachable(member.address)
+        ]
         members.sort(key=lambda member: member.region != self.membership.me.region)
         addresses += [member.address for member in members]
         addresses += [f"{ip}:{self.ports[0] + 1}" for ip in self.context.settings.seeds]
@@ -629,23 +859,34 @@
                     then(True)
             elif then is not None:
                 then(False)
-        self.ask_stores(wire.READ_VALUE, [False], answered, self.stores()[:3], self.interval_ms * 0.9)
+
+        self.ask_stores(
+            wire.READ_VALUE, [False], answered, self.stores()[:3], self.interval_ms * 0.9
+        )
 
     def ask_stores(self, kind, body, done, addresses, deadline_ms):
         """Asks one store after the other until one gives a clear answer."""
+
         def answered(answer, failure):
             if (failure is not None or not answer or answer[0] == 503) and len(addresses) > 1:
                 self.ask_stores(kind, body, done, addresses[1:], deadline_ms)
             else:
                 done(answer, failure)
+
         self.board.call(addresses[0], kind, body, deadline_ms, answered)
 
     def show_session(self, session, answer):
         """The record of a session, as a majority of its group has it."""
         from stagevale.affinity import STATES, Record, group_name, record_from
         from stagevale.ballots import majority
-        names = {group_name(name.partition("|")[0].split(",") if name.partition("|")[0] else (), session.encode())
-                 for name in (self.value.sessions if self.value else {})}
+
+        names = {
+            group_name(
+                name.partition("|")[0].split(",") if name.partition("|")[0] else (),
+                session.encode(),
+            )
+            for name in (self.value.sessions if self.value else {})
+        }
         waiting, found, silent = {}, {}, []
         for name in names:
             if name in self.value.sessions:
@@ -671,25 +912,46 @@
                     if fields is not None:
                         record.join(record_from(fields, self.context.now_ms()))
                 if record.number or record.requests:
-                    rows.append({"group": name, "version": record.number, "holder": record.holder.partition("#")[0],
-                                 "endpoints": record.pins, "requests": [
-                                     {"key": key, "state": STATES[entry.state], "by": entry.by.partition("#")[0],
-                                      "keptForS": int((entry.expires_ms - self.context.now_ms()) / 1000)}
-                                     for key, entry in sorted(record.requests.items())]})
+                    rows.append(
+                        {
+                            "group": name,
+                            "version": record.number,
+                            "holder": record.holder.partition("#")[0],
+                            "endpoints": record.pins,
+                            "requests": [
+                                {
+                                    "key": key,
+                                    "state": STATES[entry.state],
+                                    "by": entry.by.partition("#")[0],
+                                    "keptForS": int(
+                                        (entry.expires_ms - self.context.now_ms()) / 1000
+                                    ),
+                                }
+                                for key, entry in sorted(record.requests.items())
+                            ],
+                        }
+                    )
             if silent:
                 answer(503, {"error": f"no majority of the groups {', '.join(silent)} answers"})
             elif not rows:
                 answer(404, {"error": "no record of this session"})
             else:
                 answer(200, {"session": session, "records": rows})
+
         for name, peers in list(waiting.items()):
             for peer in list(peers):
-                self.board.call(peer, wire.SESSION_LOOK, [name, self.value.sessions[name][0], session],
-                                self.interval_ms, lambda reply, failure, name=name, peer=peer:
-                                heard(name, peer, reply, failure))
+                self.board.call(
+                    peer,
+                    wire.SESSION_LOOK,
+                    [name, self.value.sessions[name][0], session],
+                    self.interval_ms,
+                    lambda reply, failure, name=name, peer=peer: heard(name, peer, reply, failure),
+                )
 
     def on_lease_wanted(self, peer, body, reply):
-        """A proxy asks whether its table is the newest: one question to the register serves all that asked before it."""
+        """A proxy asks whether its table is the newest: one question to the register serves all
+        that asked before it.
+        """
         ask_no, *told = body
         self.lease_askers.append((peer, ask_no))
         if told:
@@ -712,12 +974,20 @@
                 if self.value is None or newest > self.value.serial:
                     self.pull_value()
             self.ask_newest()
+
         payload = json.dumps(outcomes, separators=(",", ":")) if outcomes else ""
-        self.ask_stores(wire.ORDER, ["serial", payload, False], answered, self.stores()[:2], self.interval_ms * 0.5)
+        self.ask_stores(
+            wire.ORDER,
+            ["serial", payload, False],
+            answered,
+            self.stores()[:2],
+            self.interval_ms * 0.5,
+        )
 
     def start_rollout(self, service, text, answer):
         """An operator's rollout, passed on once endpoints of both versions are known."""
         from stagevale.rollouts.checking import read_rollout
+
         checked = read_rollout(text)
         if checked.is_error():
             answer(checked.error.status, checked.error.reason)
@@ -725,8 +995,11 @@
         software = self.software_of(service)
         for field in ("from", "to"):
             if software and checked.ok[field] not in software:
-                answer(400, f"{field}: no endpoint of {service} runs {checked.ok[field]}; known are "
-                            f"{', '.join(sorted(software))}")
+                answer(
+                    400,
+                    f"{field}: no endpoint of {service} runs {checked.ok[field]}; known are "
+                    f"{', '.join(sorted(software))}",
+                )
                 return
         self.order("startRollout", f"{service}\n{text}", answer)
 
@@ -740,7 +1013,10 @@
         return found
 
     def show_rollouts(self, service, answer):
-        """All rollouts, or one, as the owner of the register confirms them; with warnings before they hurt."""
+        """All rollouts, or one, as the owner of the register confirms them; with warnings before
+        they hurt.
+        """
+
         def shown(status, text):
             if status != 200:
                 answer(status, {"error": text})
@@ -751,47 +1027,85 @@
                 return
             for row in rows:
                 software = self.software_of(row["service"])
-                row["endpoints"] = {name: {"endpoints": count, "slots": slots}
-                                    for name, (count, slots) in sorted(software.items())}
+                row["endpoints"] = {
+                    name: {"endpoints": count, "slots": slots}
+                    for name, (count, slots) in sorted(software.items())
+                }
                 row["warnings"] = self.rollout_warnings(row, software)
             answer(200, rows[0] if service else {"rollouts": rows})
+
         self.order("readRollouts", "", shown)
 
     def rollout_warnings(self, row, software):
-        """What would hurt at a fallback: too few endpoints of the stable version to carry what the new one carries."""
+        """What would hurt at a fallback: too few endpoints of the stable version to carry what the
+        new one carries.
+        """
         all_slots = sum(slots for _, slots in software.values())
-        stable_slots = sum(slots for name, (_, slots) in software.items()
-                          if name != row["to"] and name not in row["withheld"])
+        stable_slots = sum(
+            slots
+            for name, (_, slots) in software.items()
+            if name != row["to"] and name not in row["withheld"]
+        )
         warnings = []
         if stable_slots == 0:
-            warnings.append(f"no healthy endpoint runs {row['from']}: after a fallback requests are refused with 503")
+            warnings.append(
+                f"no healthy endpoint runs {row['from']}: after a fallback requests are refused with 503"
+            )
         elif stable_slots * 2 < all_slots:
-            warnings.append(f"{row['from']} has {stable_slots} of {all_slots} slots: a fallback would crowd them")
+            warnings.append(
+                f"{row['from']} has {stable_slots} of {all_slots} slots: a fallback would crowd them"
+            )
         if row["to"] not in software:
-            warnings.append(f"no healthy endpoint runs {row['to']}: its share goes to {row['from']}")
+            warnings.append(
+                f"no healthy endpoint runs {row['to']}: its share goes to {row['from']}"
+            )
         return warnings
 
     def partner_table(self, answer):
-        """The merged table, after a majority has confirmed that it is the newest; 503 where none does."""
+        """The merged table, after a majority has confirmed that it is the newest; 503 where none
+        does.
+        """
+
         def confirmed(status, text):
             if status != 200:
                 answer(503, {"error": f"no majority of the stores confirms the table: {text}"})
             elif self.value is None or int(text) > self.value.serial:
-                self.pull_value(lambda read: self.show_table(answer) if read
-                               else answer(503, {"error": "the newest table can't be read"}))
+                self.pull_value(
+                    lambda read: (
+                        self.show_table(answer)
+                        if read
+                        else answer(503, {"error": "the newest table can't be read"})
+                    )
+                )
             else:
                 self.show_table(answer)
+
         self.order("serial", "", confirmed)
 
     def show_table(self, answer):
-        answer(200, {"serial": self.value.serial, "mark": self.partners.mark, "registry": self.board.address,
-                     "rows": [row.fields() for row in self.partners.rows],
-                     "proxies": [{"address": s.address, "serial": s.table[0] if s.table else None,
-                                  "mark": s.table[1] if s.table else None} for s in self.subscribers.values()]})
+        answer(
+            200,
+            {
+                "serial": self.value.serial,
+                "mark": self.partners.mark,
+                "registry": self.board.address,
+                "rows": [row.fields() for row in self.partners.rows],
+                "proxies": [
+                    {
+                        "address": s.address,
+                        "serial": s.table[0] if s.table else None,
+                        "mark": s.table[1] if s.table else None,
+                    }
+                    for s in self.subscribers.values()
+                ],
+            },
+        )
 
     def explain(self, asked, answer):
         """Which rows were weighed for a host and path, and which won."""
-        host, path, zone, tenant = (asked.get(name, [""])[0] for name in ("host", "path", "zone", "tenant"))
+        host, path, zone, tenant = (
+            asked.get(name, [""])[0] for name in ("host", "path", "zone", "tenant")
+        )
         zones = self.context.settings.zones
         if not host or not path.startswith("/"):
             answer(400, {"error": "host: want a name; path: want one that begins with a slash"})
@@ -805,16 +1119,33 @@
                 answer(status, body)
                 return
             config = json.loads(self.value.config) if self.value.config else {}
-            own = [route for route in config.get("routes", ())
-                   if route["host"].lower() == host.lower() and path.startswith(route["pathPrefix"])]
+            own = [
+                route
+                for route in config.get("routes", ())
+                if route["host"].lower() == host.lower() and path.startswith(route["pathPrefix"])
+            ]
             own.sort(key=lambda route: -len(route["pathPrefix"]))
             words = self.partners.weigh(host.lower(), path, zone, zones.get(zone, ""), tenant)
-            row = None if own else self.partners.find(host.lower(), path, zone, zones.get(zone, ""), tenant)
-            answer(200, {"serial": self.value.serial, "mark": self.partners.mark,
-                         "own": [route.get("name") or route["pathPrefix"] for route in own],
-                         "weighed": [{**each.fields(), "against": against} for each, against in words],
-                         "won": f"own route {own[0].get('name') or own[0]['pathPrefix']}" if own
-                         else f"partner {row.partner}, {row.prefix}" if row else ""})
+            row = (
+                None
+                if own
+                else self.partners.find(host.lower(), path, zone, zones.get(zone, ""), tenant)
+            )
+            answer(
+                200,
+                {
+                    "serial": self.value.serial,
+                    "mark": self.partners.mark,
+                    "own": [route.get("name") or route["pathPrefix"] for route in own],
+                    "weighed": [{**each.fields(), "against": against} for each, against in words],
+                    "won": f"own route {own[0].get('name') or own[0]['pathPrefix']}"
+                    if own
+                    else f"partner {row.partner}, {row.prefix}"
+                    if row
+                    else "",
+                },
+            )
+
         self.partner_table(shown)
 
     def got_value(self, answer, failure):
@@ -826,6 +1157,7 @@
 
     def order(self, order, payload, answer):
         """An operator's order, forwarded to the store."""
+
         def answered(reply, failure):
             if failure is None and reply and len(reply) > 2 and reply[2] > 0:
                 self.context.after(reply[2], answer, reply[0], reply[1])
@@ -833,8 +1165,14 @@
                 answer(reply[0], reply[1])
             else:
                 answer(503, f"no store answers: {failure}")
-        self.ask_stores(wire.ORDER, [order, payload, False], answered, self.stores()[:3],
-                       self.context.settings.bounds.ack_deadline_ms * 0.23)
+
+        self.ask_stores(
+            wire.ORDER,
+            [order, payload, False],
+            answered,
+            self.stores()[:3],
+            self.context.settings.bounds.ack_deadline_ms * 0.23,
+        )
 
     # proxies
 
@@ -862,7 +1200,9 @@
             reply(1)
         if serial < 0 and now_ms - self.value_heard_ms > self.interval_ms * 1.5:
             subscriber.waiting = True
-            self.pull_value(lambda read: self.welcome(subscriber, read) if read or serial != -1 else None)
+            self.pull_value(
+                lambda read: self.welcome(subscriber, read) if read or serial != -1 else None
+            )
         else:
             self.welcome(subscriber, True)
 
@@ -880,7 +1220,9 @@
             self.board.cast(subscriber.address, wire.FEED, [0, b"", rows])
 
     def all_rows(self, now_ms):
-        """All lives as a new subscriber gets them, packed once for those that come within a moment without news between."""
+        """All lives as a new subscriber gets them, packed once for those that come within a moment
+        without news between.
+        """
         made_ms, rows = self.welcoming
         if rows is None or now_ms - made_ms > self.interval_ms * FEED_SHARE:
             rows = wire.pack_rows([row for part in PARTS for row in self.lives.rows(part, now_ms)])
@@ -889,15 +1231,25 @@
 
     def my_attached(self):
         """The proxies that this registry feeds, as the directory wants them."""
-        return sorted([subscriber.address, subscriber.front, subscriber.zone, subscriber.region, bool(subscriber.ready)]
-                      for subscriber in self.subscribers.values())
+        return sorted(
+            [
+                subscriber.address,
+                subscriber.front,
+                subscriber.zone,
+                subscriber.region,
+                bool(subscriber.ready),
+            ]
+            for subscriber in self.subscribers.values()
+        )
 
     def attached_mark(self, rows):
         return zlib.crc32(repr([list(row) for row in rows]).encode())
 
     def announce(self, proxy):
-        """Tells the other registries that a proxy is fed here, is ready, or isn't, together with what else changes within
-        a moment, since a start brings all proxies at once; pings repair what gets lost."""
+        """Tells the other registries that a proxy is fed here, is ready, or isn't, together with
+        what else changes within a moment, since a start brings all proxies at once; pings repair
+        what gets lost.
+        """
         if not self.unannounced:
             self.context.after(self.interval_ms * FEED_SHARE, self.announce_now)
         self.unannounced.add(proxy)
@@ -913,7 +1265,9 @@
                 self.board.cast(member.address, wire.ATTACHED, news)
 
     def on_attached(self, peer, body, reply):
-        """News of one proxy that another registry feeds: its row, or its address alone where it is fed there no more."""
+        """News of one proxy that another registry feeds: its row, or its address alone where it is
+        fed there no more.
+        """
         rows = {row[0]: row for row in self.attached.get(peer, ())}
         for proxy, *rest in body:
             rows.pop(proxy, None)
@@ -924,7 +1278,9 @@
 
     def got_attached(self, peer, rows):
         """All proxies that another registry feeds."""
-        self.attached[peer] = [[proxy, front, zone, region, bool(ready)] for proxy, front, zone, region, ready in rows]
+        self.attached[peer] = [
+            [proxy, front, zone, region, bool(ready)] for proxy, front, zone, region, ready in rows
+        ]
 
     def on_attached_wanted(self, peer, body, reply):
         reply(self.my_attached())
@@ -950,17 +1306,27 @@
 
     def resolve(self, zone, region):
         """The fronts for a client of this zone: ready, near ones first."""
-        lists = [self.my_attached()] + [rows for registry, rows in self.attached.items() if self.live(registry)]
-        ready = {(front, its_zone, its_region) for rows in lists for _, front, its_zone, its_region, is_ready in rows
-                 if is_ready and front}
+        lists = [self.my_attached()] + [
+            rows for registry, rows in self.attached.items() if self.live(registry)
+        ]
+        ready = {
+            (front, its_zone, its_region)
+            for rows in lists
+            for _, front, its_zone, its_region, is_ready in rows
+            if is_ready and front
+        }
         return fronts_for(zone, region or self.context.settings.zones.get(zone, ""), ready)
 
     def stand(self):
-        """What this registry knows, for the tools: members, parts, endpoints, proxies and where requests went."""
+        """What this registry knows, for the tools: members, parts, endpoints, proxies and where
+        requests went.
+        """
         now_ms = self.context.now_ms()
         membership = self.membership
         return {
-            "registry": self.board.address, "inContact": self.in_contact(), "converged": membership.converged(),
+            "registry": self.board.address,
+            "inContact": self.in_contact(),
+            "converged": membership.converged(),
             "leader": membership.leader() or "",
             "serial": self.value.serial if self.value else -1,
             "version": f"r{self.value.version}" if self.value else "",
@@ -968,19 +1334,54 @@
             "votes": list(self.value.group) if self.value else [],
             "zones": self.context.settings.zones,
             "sessions": self.sessions.stand() if self.sessions is not None else {},
-            "partners": {"rows": len(self.partners.rows), "mark": self.partners.mark,
-                         "offers": sorted(self.value.offers) if self.value else []},
+            "partners": {
+                "rows": len(self.partners.rows),
+                "mark": self.partners.mark,
+                "offers": sorted(self.value.offers) if self.value else [],
+            },
             "duties": self.duties.stand() if self.duties is not None else {},
-            "members": [{"address": m.address, "program": m.program, "zone": m.zone, "region": m.region,
-                         "state": STATE_NAMES[m.state], "reachable": membership.reachable(m.address)}
-                        for m in membership.state.sorted()],
-            "parts": {part: {"group": list(self.group_of(part)), "owner": self.owners.get(part, ("", 0))[0] or ""}
-                      for part in PARTS},
-            "endpoints": [{"id": life.id, "service": life.service, "address": life.address, "zone": life.zone,
-                           "slots": life.slots, "state": ("ready", "draining", "gone")[life.state],
-                           "healthy": life.healthy, "coldLeftMs": max(0, int(life.cold_ms - (now_ms - life.heard_ms)))}
-                          for life in self.lives.by_id.values()],
-            "proxies": [{"address": s.address, "front": s.front, "zone": s.zone, "region": s.region,
-                         "ready": bool(s.ready), "report": s.report, "table": s.table,
-                         "delays": s.report[5] if len(s.report) > 5 else []} for s in self.subscribers.values()],
+            "members": [
+                {
+                    "address": m.address,
+                    "program": m.program,
+                    "zone": m.zone,
+                    "region": m.region,
+                    "state": STATE_NAMES[m.state],
+                    "reachable": membership.reachable(m.address),
+                }
+                for m in membership.state.sorted()
+            ],
+            "parts": {
+                part: {
+                    "group": list(self.group_of(part)),
+                    "owner": self.owners.get(part, ("", 0))[0] or "",
+                }
+                for part in PARTS
+            },
+            "endpoints": [
+                {
+                    "id": life.id,
+                    "service": life.service,
+                    "address": life.address,
+                    "zone": life.zone,
+                    "slots": life.slots,
+                    "state": ("ready", "draining", "gone")[life.state],
+                    "healthy": life.healthy,
+                    "coldLeftMs": max(0, int(life.cold_ms - (now_ms - life.heard_ms))),
+                }
+                for life in self.lives.by_id.values()
+            ],
+            "proxies": [
+                {
+                    "address": s.address,
+                    "front": s.front,
+                    "zone": s.zone,
+                    "region": s.region,
+                    "ready": bool(s.ready),
+                    "report": s.report,
+                    "table": s.table,
+                    "delays": s.report[5] if len(s.report) > 5 else [],
+                }
+                for s in self.subscribers.values()
+            ],
         }
--- a/stagevale/rehearsing/__init__.py
+++ b/stagevale/rehearsing/__init__.py
@@ -1,4 +1,7 @@
-"""Rehearses the loss of a region: the real rules of steering on a model of the system, beside the real traffic."""
+"""Rehearses the loss of a region: the real rules of steering on a model of the system, beside the
+real traffic.
+"""
+
 import heapq
 import random
 
@@ -44,18 +47,36 @@
             regions[region_of.get(zone, "?")] = regions.get(region_of.get(zone, "?"), 0) + count
         sent = max(1, sum(self.zones.values()))
         requests = max(1, self.requests)
-        return {"kind": self.kind, "requests": self.requests, "inAim": round(self.in_aim / requests, 3),
-                "late": round(self.late / requests, 3), "refused": round(self.refused / requests, 3),
-                "regions": {region: round(count / sent, 3) for region, count in sorted(regions.items())},
-                "zones": {zone: round(count / sent, 3) for zone, count in sorted(self.zones.items())},
-                "mostRunsOfAJob": self.runs}
+        return {
+            "kind": self.kind,
+            "requests": self.requests,
+            "inAim": round(self.in_aim / requests, 3),
+            "late": round(self.late / requests, 3),
+            "refused": round(self.refused / requests, 3),
+            "regions": {
+                region: round(count / sent, 3) for region, count in sorted(regions.items())
+            },
+            "zones": {zone: round(count / sent, 3) for zone, count in sorted(self.zones.items())},
+            "mostRunsOfAJob": self.runs,
+        }
 
 
 class Plan:
     """The stand of the running system, as the tools read it, made ready for the model."""
 
-    __slots__ = ("region_of", "endpoints", "fronts", "flows", "speeds", "rtt_ms", "routes", "services", "evacuated",
-                 "bounds", "seen")
+    __slots__ = (
+        "region_of",
+        "endpoints",
+        "fronts",
+        "flows",
+        "speeds",
+        "rtt_ms",
+        "routes",
+        "services",
+        "evacuated",
+        "bounds",
+        "seen",
+    )
 
     def __init__(self, stands, config, bounds):
         self.region_of = {}
@@ -85,7 +106,15 @@
                     requests = sum(went.values())
                     if name in self.routes and requests:
                         self.flows.setdefault(row["address"], []).append(
-                            Flow(self.routes[name], service, requests * 1000.0 / max(1, span_ms), work_ms, size, went))
+                            Flow(
+                                self.routes[name],
+                                service,
+                                requests * 1000.0 / max(1, span_ms),
+                                work_ms,
+                                size,
+                                went,
+                            )
+                        )
                         tally = self.seen.setdefault(name, {})
                         for zone, count in went.items():
                             tally[zone] = tally.get(zone, 0) + count
@@ -94,7 +123,9 @@
         if not self.fronts:
             raise RehearsalFailure("no proxy is fed by the registries that were asked")
         if not self.flows:
-            raise RehearsalFailure("no proxy has reported requests yet; ask again while traffic runs")
+            raise RehearsalFailure(
+                "no proxy has reported requests yet; ask again while traffic runs"
+            )
         if not self.endpoints:
             raise RehearsalFailure("no healthy endpoint is known")
 
@@ -112,7 +143,18 @@
 class Trial:
     """One request in the model."""
 
-    __slots__ = ("route", "service", "start_ms", "tried", "expected_ms", "flow", "front", "runs", "homes", "prefers")
+    __slots__ = (
+        "route",
+        "service",
+        "start_ms",
+        "tried",
+        "expected_ms",
+        "flow",
+        "front",
+        "runs",
+        "homes",
+        "prefers",
+    )
 
     def __init__(self, flow, front, start_ms):
         self.flow, self.front = flow, front
@@ -136,7 +178,9 @@
             its_region = plan.region_of.get(row["zone"], "")
             if its_region == lost:
                 continue
-            target = Target(row["id"], row["service"], row["address"], row["zone"], its_region, row["slots"])
+            target = Target(
+                row["id"], row["service"], row["address"], row["zone"], its_region, row["slots"]
+            )
             target.speed = plan.speeds.get(row["id"], 1.0)
             tables.setdefault(row["service"], []).append(target)
         for flow in flows:
@@ -144,13 +188,24 @@
             self.chooser.bytes[flow.route.name] = flow.bytes
         counted = [(flow.bytes, flow.per_s) for flow in flows]
         if counted:
-            self.chooser.mean_bytes = max(1.0, sum(b * n for b, n in counted) / max(0.001, sum(n for _, n in counted)))
-        self.snapshot = Snapshot(0, {}, plan.services, Limits({}), plan.evacuated,
-                             {service: tuple(targets) for service, targets in tables.items()}, proxies)
+            self.chooser.mean_bytes = max(
+                1.0, sum(b * n for b, n in counted) / max(0.001, sum(n for _, n in counted))
+            )
+        self.snapshot = Snapshot(
+            0,
+            {},
+            plan.services,
+            Limits({}),
+            plan.evacuated,
+            {service: tuple(targets) for service, targets in tables.items()},
+            proxies,
+        )
 
     def way_ms(self, target):
         """How long a message takes from here to the endpoint."""
-        return 0.0 if target.region == self.region else self.chooser.rtt_ms.get(target.region, 0.0) / 2
+        return (
+            0.0 if target.region == self.region else self.chooser.rtt_ms.get(target.region, 0.0) / 2
+        )
 
 
 def shifted(plan, lost):
@@ -161,7 +216,11 @@
     if not ready:
         raise RehearsalFailure(f"without {lost} no front is left")
     by_front = {row[0]: address for address, row in plan.fronts.items()}
-    moved = {address: list(flows) for address, flows in plan.flows.items() if plan.fronts[address][2] != lost}
+    moved = {
+        address: list(flows)
+        for address, flows in plan.flows.items()
+        if plan.fronts[address][2] != lost
+    }
     for address, flows in plan.flows.items():
         _, zone, region = plan.fronts[address]
         if region != lost:
@@ -170,18 +229,30 @@
         for flow in flows:
             for front in takers:
                 moved.setdefault(by_front[front], []).append(
-                    Flow(flow.route, flow.service, flow.per_s / len(takers), flow.work_ms, flow.bytes, flow.went))
+                    Flow(
+                        flow.route,
+                        flow.service,
+                        flow.per_s / len(takers),
+                        flow.work_ms,
+                        flow.bytes,
+                        flow.went,
+                    )
+                )
     return moved
 
 
 def rehearse(plan, lost="", seconds=20, seed=1):
-    """Plays requests at the rates seen against the modelled endpoints; returns a tally for each route."""
+    """Plays requests at the rates seen against the modelled endpoints; returns a tally for each
+    route.
+    """
     rng = random.Random(seed)
     flows = shifted(plan, lost)
     alive = {address: row for address, row in plan.fronts.items() if row[2] != lost}
     proxies = tuple((address, zone, region) for address, (_, zone, region) in sorted(alive.items()))
-    fronts = {address: Front(plan, address, zone, region, proxies, lost, flows.get(address, ()), rng)
-              for address, (_, zone, region) in alive.items()}
+    fronts = {
+        address: Front(plan, address, zone, region, proxies, lost, flows.get(address, ()), rng)
+        for address, (_, zone, region) in alive.items()
+    }
     running = {id: 0 for id in plan.endpoints}
     queues = {id: [] for id in plan.endpoints}
     tallies = {}
@@ -252,7 +323,9 @@
 
 
 def report(plan, lost, seconds, seed):
-    """The rehearsal as a table: for each kind and route where requests go now, in the model, and without the region."""
+    """The rehearsal as a table: for each kind and route where requests go now, in the model, and
+    without the region.
+    """
     regions = set(plan.region_of.values())
     if lost not in regions:
         raise RehearsalFailure(f"no region {lost}; there are {', '.join(sorted(regions))}")
@@ -262,11 +335,24 @@
         seen = Tally(after[name].kind)
         seen.zones = plan.seen.get(name, {})
         homes = plan.routes[name].homes
-        routes.append({"route": name, "kind": after[name].kind,
-                       "seen": seen.row(plan.region_of)["regions"],
-                       "calm": calm[name].row(plan.region_of) if name in calm else None,
-                       "lost": after[name].row(plan.region_of),
-                       "homes": sorted(homes), "homeLeft": not homes or bool(homes - {lost})})
-    return {"region": lost, "seconds": seconds, "seed": seed, "routes": routes,
-            "fronts": {address: round(sum(flow.per_s for flow in flows), 1)
-                       for address, flows in sorted(shifted(plan, lost).items())}}
+        routes.append(
+            {
+                "route": name,
+                "kind": after[name].kind,
+                "seen": seen.row(plan.region_of)["regions"],
+                "calm": calm[name].row(plan.region_of) if name in calm else None,
+                "lost": after[name].row(plan.region_of),
+                "homes": sorted(homes),
+                "homeLeft": not homes or bool(homes - {lost}),
+            }
+        )
+    return {
+        "region": lost,
+        "seconds": seconds,
+        "seed": seed,
+        "routes": routes,
+        "fronts": {
+            address: round(sum(flow.per_s for flow in flows), 1)
+            for address, flows in sorted(shifted(plan, lost).items())
+        },
+    }
--- a/stagevale/rollouts/__init__.py
+++ b/stagevale/rollouts/__init__.py
@@ -1,4 +1,7 @@
-"""Rollouts: the stepwise shift of a service's requests from one software version of its endpoints to another."""
+"""Rollouts: the stepwise shift of a service's requests from one software version of its endpoints
+to another.
+"""
+
 import json
 import zlib
 
@@ -10,8 +13,21 @@
 class Rollout:
     """One service's rollout as the register holds it. Immutable by custom."""
 
-    __slots__ = ("service", "version", "stable", "new", "steps", "failure_share", "least_requests", "watch_s", "state",
-                 "step", "withheld", "reason", "hashed")
+    __slots__ = (
+        "service",
+        "version",
+        "stable",
+        "new",
+        "steps",
+        "failure_share",
+        "least_requests",
+        "watch_s",
+        "state",
+        "step",
+        "withheld",
+        "reason",
+        "hashed",
+    )
 
     def __init__(self, row):
         self.service = row["service"]
@@ -30,10 +46,21 @@
 
     def row(self):
         """The rollout as it lies in the register and is shown."""
-        return {"service": self.service, "version": self.version, "from": self.stable, "to": self.new,
-                "steps": list(self.steps), "failureShare": self.failure_share, "leastRequests": self.least_requests,
-                "watchS": self.watch_s, "state": self.state, "step": self.step, "withheld": list(self.withheld),
-                "reason": self.reason, "hashed": self.hashed}
+        return {
+            "service": self.service,
+            "version": self.version,
+            "from": self.stable,
+            "to": self.new,
+            "steps": list(self.steps),
+            "failureShare": self.failure_share,
+            "leastRequests": self.least_requests,
+            "watchS": self.watch_s,
+            "state": self.state,
+            "step": self.step,
+            "withheld": list(self.withheld),
+            "reason": self.reason,
+            "hashed": self.hashed,
+        }
 
     def text(self):
         return json.dumps(self.row(), separators=(",", ":"), sort_keys=True)
@@ -54,7 +81,9 @@
         return self.state != ENDED
 
     def side(self, key):
-        """Which version a request goes to, by a stable hash of its session or id: a share that rises only adds."""
+        """Which version a request goes to, by a stable hash of its session or id: a share that
+        rises only adds.
+        """
         return NEW if zlib.crc32(key) < self.share * 4294967296.0 else STABLE
 
     def allows(self, side, software):
@@ -75,7 +104,9 @@
 
 
 class Outcomes:
-    """What became of requests offered under rollouts, as sums of this proxy's life: telling them twice adds nothing."""
+    """What became of requests offered under rollouts, as sums of this proxy's life: telling them
+    twice adds nothing.
+    """
 
     __slots__ = ("sums",)
 
@@ -83,17 +114,24 @@
         self.sums = {}
 
     def count(self, rollout, software, zone, failed, slow):
-        """One request that an endpoint of this software version in this zone was offered has come to its end."""
+        """One request that an endpoint of this software version in this zone was offered has come
+        to its end.
+        """
         side = NEW if software == rollout.new else STABLE if software == rollout.stable else None
         if side is None or rollout.state not in (SHIFTING, PAUSED):
             return
-        sums = self.sums.setdefault((rollout.service, rollout.version, rollout.step, zone, side), [0, 0, 0])
+        sums = self.sums.setdefault(
+            (rollout.service, rollout.version, rollout.step, zone, side), [0, 0, 0]
+        )
         sums[REQUESTS] += 1
         sums[FAILURES] += int(failed)
         sums[SLOW] += int(slow and not failed)
 
     def rows(self, rollouts):
         """The sums that are still asked about; what belongs to earlier rollouts is dropped."""
-        self.sums = {key: sums for key, sums in self.sums.items()
-                     if key[0] in rollouts and rollouts[key[0]].version == key[1]}
+        self.sums = {
+            key: sums
+            for key, sums in self.sums.items()
+            if key[0] in rollouts and rollouts[key[0]].version == key[1]
+        }
         return [[*key, *sums] for key, sums in self.sums.items()]
--- a/stagevale/rollouts/checking.py
+++ b/stagevale/rollouts/checking.py
@@ -1,4 +1,7 @@
-"""Reading and checking of rollouts, with trafaret; and what each order about them does to the register."""
+"""Reading and checking of rollouts, with trafaret; and what each order about them does to the
+register.
+"""
+
 import json
 
 import trafaret as t
@@ -8,18 +11,24 @@
 from stagevale.rollouts import DONE, ENDED, FALLEN, PAUSED, SHIFTING, Rollout
 
 SHARE = t.Float(gt=0.0, lte=1.0)
-ROLLOUT = t.Dict({
-    t.Key("version"): check_version,
-    t.Key("parentVersion", default=0): check_version,
-    t.Key("from"): t.String(max_length=200),
-    t.Key("to"): t.String(max_length=200),
-    t.Key("steps"): t.List(SHARE, min_length=1, max_length=100),
-    t.Key("failureShare"): t.Float(gte=0.0, lt=1.0),
-    t.Key("leastRequests"): t.Int(gte=1),
-    t.Key("watchS"): t.Float(gt=0.0, lte=86400.0),
-})
-MOVES = {"pause": ((SHIFTING,), PAUSED), "resume": ((PAUSED,), SHIFTING),
-         "promote": ((SHIFTING, PAUSED), DONE), "rollback": ((SHIFTING, PAUSED, DONE), FALLEN)}
+ROLLOUT = t.Dict(
+    {
+        t.Key("version"): check_version,
+        t.Key("parentVersion", default=0): check_version,
+        t.Key("from"): t.String(max_length=200),
+        t.Key("to"): t.String(max_length=200),
+        t.Key("steps"): t.List(SHARE, min_length=1, max_length=100),
+        t.Key("failureShare"): t.Float(gte=0.0, lt=1.0),
+        t.Key("leastRequests"): t.Int(gte=1),
+        t.Key("watchS"): t.Float(gt=0.0, lte=86400.0),
+    }
+)
+MOVES = {
+    "pause": ((SHIFTING,), PAUSED),
+    "resume": ((PAUSED,), SHIFTING),
+    "promote": ((SHIFTING, PAUSED), DONE),
+    "rollback": ((SHIFTING, PAUSED, DONE), FALLEN),
+}
 
 
 def read_rollout(text) -> Result:
@@ -61,17 +70,34 @@
         return outcome(409, f"rollout r{current} of {service} is still {before.state}")
     withheld = []
     if before is not None and before.state != ENDED:
-        withheld = [name for name in before.withheld + ((before.new,) if before.state == FALLEN else ())
-                    if name not in (table["from"], table["to"])]
-    rollout = Rollout({"service": service, "version": table["version"], "from": table["from"], "to": table["to"],
-                       "steps": table["steps"], "failureShare": table["failureShare"],
-                       "leastRequests": table["leastRequests"], "watchS": table["watchS"], "state": SHIFTING,
-                       "step": 0, "withheld": withheld, "hashed": hashed})
+        withheld = [
+            name
+            for name in before.withheld + ((before.new,) if before.state == FALLEN else ())
+            if name not in (table["from"], table["to"])
+        ]
+    rollout = Rollout(
+        {
+            "service": service,
+            "version": table["version"],
+            "from": table["from"],
+            "to": table["to"],
+            "steps": table["steps"],
+            "failureShare": table["failureShare"],
+            "leastRequests": table["leastRequests"],
+            "watchS": table["watchS"],
+            "state": SHIFTING,
+            "step": 0,
+            "withheld": withheld,
+            "hashed": hashed,
+        }
+    )
     return outcome(200, rollout.text(), put(value, rollout))
 
 
 def moved(value, payload, outcome):
-    """What pause, resume, promote, rollback and end do; payload is the service's name, a line end, the order."""
+    """What pause, resume, promote, rollback and end do; payload is the service's name, a line end,
+    the order.
+    """
     service, _, order = payload.partition("\n")
     if service not in value.rollouts:
         return outcome(404, f"no rollout of {service}")
@@ -79,7 +105,9 @@
     if order == "end":
         if rollout.state == ENDED:
             return outcome(200, rollout.text())
-        return outcome(200, "", put(value, rollout.after(state=ENDED, reason="ended by the operator")))
+        return outcome(
+            200, "", put(value, rollout.after(state=ENDED, reason="ended by the operator"))
+        )
     if rollout.state == ENDED:
         return outcome(404, f"no rollout of {service}")
     sources, goal = MOVES[order]
--- a/stagevale/settings/__init__.py
+++ b/stagevale/settings/__init__.py
@@ -1,4 +1,5 @@
 """The settings of one daemon: read from TOML, checked, and kept as plain fields."""
+
 import os
 import re
 import tomllib
@@ -7,12 +8,28 @@
 SETTINGS_PATH = "/etc/stagevale/settings.toml"
 
 BOUND_DEFAULTS = {
-    "seedStalenessS": 3, "addrReuseS": 2, "contactMs": 4000, "ackDeadlineMs": 4000,
-    "syncS": 4, "drainCutoffMs": 2500, "gracePeriodS": 6, "lossSlackMs": 200,
-    "applyMs": 2500, "revertSlackMs": 250, "stretchMaxMs": 6000, "retryRatio": 0.2,
-    "retryWindowS": 10, "retryExtra": 60, "coldExcess": 1.5, "coldMargin": 5,
-    "evacuateMs": 5000, "recoveryS": 15, "ttl_max_s": 5,
-    "leaseMs": 3000, "reportWindowS": 5, "usageDelayS": 10,
+    "seedStalenessS": 3,
+    "addrReuseS": 2,
+    "contactMs": 4000,
+    "ackDeadlineMs": 4000,
+    "syncS": 4,
+    "drainCutoffMs": 2500,
+    "gracePeriodS": 6,
+    "lossSlackMs": 200,
+    "applyMs": 2500,
+    "revertSlackMs": 250,
+    "stretchMaxMs": 6000,
+    "retryRatio": 0.2,
+    "retryWindowS": 10,
+    "retryExtra": 60,
+    "coldExcess": 1.5,
+    "coldMargin": 5,
+    "evacuateMs": 5000,
+    "recoveryS": 15,
+    "ttl_max_s": 5,
+    "leaseMs": 3000,
+    "reportWindowS": 5,
+    "usageDelayS": 10,
 }
 
 
@@ -36,8 +53,16 @@
             if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
                 raise SettingsFailure(f"bounds.{name}: want a number not below 0, got {value!r}")
             setattr(self, snake_case(name), value)
-        for name in ("contactMs", "ackDeadlineMs", "gracePeriodS", "applyMs", "retryWindowS", "leaseMs", "reportWindowS",
-                     "usageDelayS"):
+        for name in (
+            "contactMs",
+            "ackDeadlineMs",
+            "gracePeriodS",
+            "applyMs",
+            "retryWindowS",
+            "leaseMs",
+            "reportWindowS",
+            "usageDelayS",
+        ):
             if getattr(self, snake_case(name)) <= 0:
                 raise SettingsFailure(f"bounds.{name}: want a number above 0")
 
@@ -45,9 +70,30 @@
 class Settings:
     """One daemon's settings; immutable by custom, replaced whole on a reload."""
 
-    __slots__ = ("name", "machine_class", "ip", "zone", "region", "counted", "first_start", "data_path",
-                 "memory_mb", "file_limit", "inner_ports", "seeds", "listen", "zones", "beat_ms",
-                 "tolerance", "bounds", "policy_path", "steering", "platform", "duties", "duty_per_s")
+    __slots__ = (
+        "name",
+        "machine_class",
+        "ip",
+        "zone",
+        "region",
+        "counted",
+        "first_start",
+        "data_path",
+        "memory_mb",
+        "file_limit",
+        "inner_ports",
+        "seeds",
+        "listen",
+        "zones",
+        "beat_ms",
+        "tolerance",
+        "bounds",
+        "policy_path",
+        "steering",
+        "platform",
+        "duties",
+        "duty_per_s",
+    )
 
 
 def split_address(text, field):
@@ -88,13 +134,19 @@
     settings.memory_mb = take(table, "limits", "memoryMb", (int, float), 300)
     settings.file_limit = take(table, "limits", "fileLimit", int, 4096)
     ports = take(table, "connections", "innerPorts", list)
-    if len(ports) != 2 or not all(isinstance(p, int) and 0 < p < 65536 for p in ports) or ports[0] >= ports[1]:
+    if (
+        len(ports) != 2
+        or not all(isinstance(p, int) and 0 < p < 65536 for p in ports)
+        or ports[0] >= ports[1]
+    ):
         raise SettingsFailure(f"connections.innerPorts: want two rising ports, got {ports!r}")
     settings.inner_ports = tuple(ports)
     seeds = take(table, "connections", "seeds", list, [])
     settings.seeds = tuple(split_address(seed, "connections.seeds")[0] for seed in seeds)
-    settings.listen = {name: split_address(address, f"listen.{name}")
-                       for name, address in table.get("listen", {}).items()}
+    settings.listen = {
+        name: split_address(address, f"listen.{name}")
+        for name, address in table.get("listen", {}).items()
+    }
     zones = table.get("zones", {})
     for zone, region in zones.items():
         if not isinstance(region, str):
@@ -114,7 +166,9 @@
     settings.duties = tuple(duties)
     settings.duty_per_s = take(table, "platform", "dutyPerS", (int, float), 10)
     if isinstance(settings.duty_per_s, bool) or settings.duty_per_s <= 0:
-        raise SettingsFailure(f"platform.dutyPerS: want a number above 0, got {settings.duty_per_s!r}")
+        raise SettingsFailure(
+            f"platform.dutyPerS: want a number above 0, got {settings.duty_per_s!r}"
+        )
     return settings
 
 
@@ -129,5 +183,7 @@
         with open(path, encoding="utf-8") as file:
             text = file.read()
     except (OSError, UnicodeDecodeError) as failure:
-        raise SettingsFailure(f"can't be read: {getattr(failure, 'strerror', None) or failure}") from None
+        raise SettingsFailure(
+            f"can't be read: {getattr(failure, 'strerror', None) or failure}"
+        ) from None
     return read_settings(text)
--- a/stagevale/steering/__init__.py
+++ b/stagevale/steering/__init__.py
@@ -1,4 +1,7 @@
-"""Steering: each edge learns from the answers it carries which region answers a service fastest, and shifts to it."""
+"""Steering: each edge learns from the answers it carries which region answers a service fastest,
+and shifts to it.
+"""
+
 import math
 
 BUCKETS = 64
@@ -24,7 +27,11 @@
         self.counts = dict(counts or {})
 
     def add(self, ms):
-        place = 0 if ms <= FIRST_MS else min(BUCKETS - 1, 1 + int(math.log2(ms / FIRST_MS) * BUCKETS_A_DOUBLING))
+        place = (
+            0
+            if ms <= FIRST_MS
+            else min(BUCKETS - 1, 1 + int(math.log2(ms / FIRST_MS) * BUCKETS_A_DOUBLING))
+        )
         self.counts[place] = self.counts.get(place, 0) + 1
 
     def merge(self, other):
@@ -35,7 +42,9 @@
         return sum(self.counts.values())
 
     def quantile(self, share):
-        """The value that this share of what was counted does not exceed, at the upper end of its bucket."""
+        """The value that this share of what was counted does not exceed, at the upper end of its
+        bucket.
+        """
         wanted, seen = share * self.count(), 0
         for place in sorted(self.counts):
             seen += self.counts[place]
@@ -48,7 +57,9 @@
 
 
 class Estimate:
-    """What one region's answers of one service take, as this edge has seen it: way apart from queue and work."""
+    """What one region's answers of one service take, as this edge has seen it: way apart from queue
+    and work.
+    """
 
     __slots__ = ("slowness", "spread", "count", "heard_ms", "expected_sum", "got_sum", "got")
 
@@ -62,8 +73,9 @@
         self.got = Histogram()
 
     def learn(self, slowness, now_ms, memory_ms):
-        """Takes in one answer: how long queue and work took against what the route usually takes. An answer weighs the
-        more, the longer there was none."""
+        """Takes in one answer: how long queue and work took against what the route usually takes.
+        An answer weighs the more, the longer there was none.
+        """
         self.count += 1
         alpha = max(ALPHA, 1.0 / self.count, min(0.5, (now_ms - self.heard_ms) / memory_ms))
         change = slowness - self.slowness
@@ -76,15 +88,29 @@
         return max(0.0, 1.0 - (now_ms - self.heard_ms) / stale_ms) if self.count >= ENOUGH else 0.0
 
     def faded(self, now_ms, stale_ms):
-        """The slowness to expect now: what was learned, fading to the neutral value as it grows old."""
+        """The slowness to expect now: what was learned, fading to the neutral value as it grows
+        old.
+        """
         weight = self.fresh(now_ms, stale_ms)
         return weight * self.slowness + (1.0 - weight) * NEUTRAL
 
 
 class Steering:
-    """One edge's delays by service and region, and the share of each service's requests that it sends to each region."""
+    """One edge's delays by service and region, and the share of each service's requests that it
+    sends to each region.
+    """
 
-    __slots__ = ("random", "region", "estimates", "shares", "moved_ms", "stale_ms", "round_ms", "memory_ms", "ways")
+    __slots__ = (
+        "random",
+        "region",
+        "estimates",
+        "shares",
+        "moved_ms",
+        "stale_ms",
+        "round_ms",
+        "memory_ms",
+        "ways",
+    )
 
     def __init__(self, bounds, region, random, ways):
         self.random = random
@@ -108,7 +134,9 @@
         return 0.0 if region == self.region else self.ways.get(region, fallback_ms)
 
     def answered(self, service, region, work_ms, took_ms, expected_ms, now_ms):
-        """Learns from an answer: `took_ms` from sending to the whole answer, of a route that usually takes `work_ms`."""
+        """Learns from an answer: `took_ms` from sending to the whole answer, of a route that
+        usually takes `work_ms`.
+        """
         way_ms = min(self.way_ms(region, 0.0), took_ms * 0.8)
         estimate = self.estimate(service, region)
         estimate.learn(min(30.0, (took_ms - way_ms) / max(1.0, work_ms)), now_ms, self.memory_ms)
@@ -118,8 +146,9 @@
 
     def failed(self, service, region, work_ms, took_ms, now_ms):
         """A request that broke off or ran out of time is an answer as slow as it was held."""
-        self.estimate(service, region).learn(min(30.0, max(2.0, took_ms / max(1.0, work_ms))), now_ms,
-                                            self.memory_ms)
+        self.estimate(service, region).learn(
+            min(30.0, max(2.0, took_ms / max(1.0, work_ms))), now_ms, self.memory_ms
+        )
 
     def expected_ms(self, service, region, work_ms, now_ms, fallback_ms):
         """What an answer is expected to take from this region now."""
@@ -137,7 +166,9 @@
         return estimate.faded(now_ms, self.stale_ms) if estimate is not None else NEUTRAL
 
     def choose(self, service, regions, work_ms, target_ms, bulk, pure, now_ms, fallback_ms):
-        """The region for one request, drawn by the shares; now and then a pure one renews what is stale."""
+        """The region for one request, drawn by the shares; now and then a pure one renews what is
+        stale.
+        """
         shares = self.shares.get(service)
         if shares is None:
             shares = self.shares[service] = {self.region: 1.0}
@@ -145,14 +176,31 @@
             self.moved_ms[service] = now_ms
             self.move(service, shares, regions, work_ms, target_ms, bulk, now_ms, fallback_ms)
         if pure and self.random.random() < RENEWED:
-            stale = [region for region in regions if shares.get(region, 0.0) < RENEWED and
-                     (region == self.region or self.estimate(service, region).fresh(now_ms, self.stale_ms) < 0.5)]
+            stale = [
+                region
+                for region in regions
+                if shares.get(region, 0.0) < RENEWED
+                and (
+                    region == self.region
+                    or self.estimate(service, region).fresh(now_ms, self.stale_ms) < 0.5
+                )
+            ]
             if stale:
                 return self.random.choice(stale)
-        allowed = {region: share for region, share in shares.items() if region in regions and share > 0.0}
+        allowed = {
+            region: share for region, share in shares.items() if region in regions and share > 0.0
+        }
         if not allowed:
-            return min(regions, key=lambda region: self.expected_ms(service, region, work_ms, now_ms, fallback_ms)) \
-                if regions else None
+            return (
+                min(
+                    regions,
+                    key=lambda region: self.expected_ms(
+                        service, region, work_ms, now_ms, fallback_ms
+                    ),
+                )
+                if regions
+                else None
+            )
         point = self.random.random() * sum(allowed.values())
         for region, share in allowed.items():
             point -= share
@@ -161,10 +209,15 @@
         return region
 
     def move(self, service, shares, regions, work_ms, target_ms, bulk, now_ms, fallback_ms):
-        """Shifts a part of the share towards the region that answers fastest, where that is worth the margin. The step
-        rises with the gain and is drawn at random, so that edges that see the same do not all go at once."""
-        costs = {region: self.expected_ms(service, region, work_ms, now_ms, fallback_ms)
-                 + self.price_ms(region, target_ms, bulk) for region in set(regions) | set(shares)}
+        """Shifts a part of the share towards the region that answers fastest, where that is worth
+        the margin. The step rises with the gain and is drawn at random, so that edges that see the
+        same do not all go at once.
+        """
+        costs = {
+            region: self.expected_ms(service, region, work_ms, now_ms, fallback_ms)
+            + self.price_ms(region, target_ms, bulk)
+            for region in set(regions) | set(shares)
+        }
         if not regions:
             return
         best = min(regions, key=costs.get)
@@ -183,16 +236,27 @@
                 shares[best] += shares.pop(region)
 
     def rows(self, now_ms):
-        """For operators: service, region, share, mean expected and got, median, 95th percentile, count, spread, age."""
+        """For operators: service, region, share, mean expected and got, median, 95th percentile,
+        count, spread, age.
+        """
         rows = []
         for (service, region), estimate in sorted(self.estimates.items()):
             count = estimate.got.count()
             if count == 0:
                 continue
-            rows.append({"service": service, "region": region,
-                         "share": round(self.shares.get(service, {}).get(region, 0.0), 3),
-                         "expectedMs": round(estimate.expected_sum / count, 1), "gotMs": round(estimate.got_sum / count, 1),
-                         "medianMs": round(estimate.got.quantile(0.5), 1), "p95Ms": round(estimate.got.quantile(0.95), 1),
-                         "count": count, "slowness": round(estimate.slowness, 2), "spread": round(estimate.spread, 2),
-                         "ageMs": int(now_ms - estimate.heard_ms)})
+            rows.append(
+                {
+                    "service": service,
+                    "region": region,
+                    "share": round(self.shares.get(service, {}).get(region, 0.0), 3),
+                    "expectedMs": round(estimate.expected_sum / count, 1),
+                    "gotMs": round(estimate.got_sum / count, 1),
+                    "medianMs": round(estimate.got.quantile(0.5), 1),
+                    "p95Ms": round(estimate.got.quantile(0.95), 1),
+                    "count": count,
+                    "slowness": round(estimate.slowness, 2),
+                    "spread": round(estimate.spread, 2),
+                    "ageMs": int(now_ms - estimate.heard_ms),
+                }
+            )
         return rows
--- a/stagevale/tenants/__init__.py
+++ b/stagevale/tenants/__init__.py
@@ -40,14 +40,20 @@
 
 
 def tenants_failure(rows, regions):
-    """Why checked rows of `tenants` can't be taken, naming the place and never a key; None where they can."""
+    """Why checked rows of `tenants` can't be taken, naming the place and never a key; None where
+    they can.
+    """
     names, keys = set(), set()
     for number, row in enumerate(rows):
         where = f"tenants[{number}]"
         if row["name"] in names:
             return f"{where}: another tenant has this name"
         names.add(row["name"])
-        if not row["name"].isascii() or not row["name"].isprintable() or row["name"] != row["name"].strip():
+        if (
+            not row["name"].isascii()
+            or not row["name"].isprintable()
+            or row["name"] != row["name"].strip()
+        ):
             return f"{where}: the name can't stand in a header"
         for place, key in enumerate(row.get("apiKeys") or ()):
             if key in keys:
--- a/stagevale/wire/__init__.py
+++ b/stagevale/wire/__init__.py
@@ -1,4 +1,7 @@
-"""Messages between the system's own daemons: flexbuffers (the schema-less part of flatbuffers), framed."""
+"""Messages between the system's own daemons: flexbuffers (the schema-less part of flatbuffers),
+framed.
+"""
+
 import json
 import struct
 import zlib
@@ -65,7 +68,9 @@
 
 
 def unpack(data, step, peer):
-    """Bytes as a message: a list that begins with its kind. Raises WireFailure for anything else."""
+    """Bytes as a message: a list that begins with its kind. Raises WireFailure for anything
+    else.
+    """
     try:
         message = plain(flexbuffers.Loads(data))
     except Exception as failure:
@@ -86,8 +91,10 @@
 
 
 def pack_rows(rows):
-    """Many rows as one field of a message: JSON, which reads a hundred times faster than rows of a flexbuffer; many
-    together are squeezed, since a proxy's link is narrow and each start of one brings it every endpoint."""
+    """Many rows as one field of a message: JSON, which reads a hundred times faster than rows of a
+    flexbuffer; many together are squeezed, since a proxy's link is narrow and each start of one
+    brings it every endpoint.
+    """
     if not rows:
         return b""
     data = json.dumps(rows, separators=(",", ":")).encode()
--- a/stagevale/wire/switchboard.py
+++ b/stagevale/wire/switchboard.py
@@ -1,4 +1,5 @@
 """Connections between peers: one Protocol object per connection, one switchboard per daemon."""
+
 import asyncio
 import struct
 
@@ -43,13 +44,15 @@
         while len(self.buffer) >= 4:
             size = struct.unpack_from("!I", self.buffer)[0]
             if size > wire.MAX_FRAME_BYTES:
-                self.board.context.log.warning("wire: a frame of %d bytes from %s, connection closed.", size, self.peer)
+                self.board.context.log.warning(
+                    "wire: a frame of %d bytes from %s, connection closed.", size, self.peer
+                )
                 self.transport.abort()
                 return
             if len(self.buffer) < 4 + size:
                 return
-            frame = bytes(self.buffer[4:4 + size])
-            del self.buffer[:4 + size]
+            frame = bytes(self.buffer[4 : 4 + size])
+            del self.buffer[: 4 + size]
             try:
                 message = wire.unpack(frame, "frame", self.peer)
                 self.board.arrived(self, message)
@@ -58,8 +61,11 @@
                 self.transport.abort()
                 return
             except (ValueError, TypeError, IndexError, KeyError, AttributeError) as failure:
-                self.board.context.log.warning("wire: message from %s not understood: %r, connection closed.",
-                                               self.peer, failure)
+                self.board.context.log.warning(
+                    "wire: message from %s not understood: %r, connection closed.",
+                    self.peer,
+                    failure,
+                )
                 self.transport.abort()
                 return
 
@@ -80,9 +86,20 @@
 
 
 class Switchboard:
-    """Keeps the connections to peers, hands messages to their handlers, and matches answers to calls."""
-
-    __slots__ = ("context", "address", "connections", "handlers", "calls", "call_no", "lost_hooks", "silence_ms")
+    """Keeps the connections to peers, hands messages to their handlers, and matches answers to
+    calls.
+    """
+
+    __slots__ = (
+        "context",
+        "address",
+        "connections",
+        "handlers",
+        "calls",
+        "call_no",
+        "lost_hooks",
+        "silence_ms",
+    )
 
     def __init__(self, context, address):
         self.context = context
@@ -99,7 +116,9 @@
         return self.context.listen(wire.pair(self.address), lambda: PeerConnection(self, "", False))
 
     def on(self, kind, handler):
-        """Sets the handler of a kind: handler(peer, body, reply), where reply is None for a cast."""
+        """Sets the handler of a kind: handler(peer, body, reply), where reply is None for a
+        cast.
+        """
         self.handlers[kind] = handler
 
     def connection_to(self, peer):
@@ -108,8 +127,13 @@
             return connections[-1]
         connection = PeerConnection(self, peer, True)
         self.connections.setdefault(peer, []).append(connection)
-        self.context.connect(wire.pair(peer), connection, lambda failure: self.lost(connection, failure),
-                             self.silence_ms, self.silence_ms)
+        self.context.connect(
+            wire.pair(peer),
+            connection,
+            lambda failure: self.lost(connection, failure),
+            self.silence_ms,
+            self.silence_ms,
+        )
         return connection
 
     def cast(self, peer, kind, body):
@@ -155,7 +179,11 @@
         if handler is None:
             raise wire.WireFailure(f"kind {kind}", connection.peer, "not handled here")
         if call_no:
-            handler(connection.peer, body, lambda answer: connection.send(wire.pack([wire.ANSWER, call_no, answer])))
+            handler(
+                connection.peer,
+                body,
+                lambda answer: connection.send(wire.pack([wire.ANSWER, call_no, answer])),
+            )
         else:
             handler(connection.peer, body, None)
 
--- a/tests/approval.py
+++ b/tests/approval.py
@@ -1,4 +1,5 @@
 """Approved transcripts: what an exchange printed, kept beside the tests."""
+
 import os
 import pathlib
 
--- a/tests/simworld.py
+++ b/tests/simworld.py
@@ -1,4 +1,7 @@
-"""A simulated network, clock and disk for whole daemons, driven by simpy; every run with one seed is the same."""
+"""A simulated network, clock and disk for whole daemons, driven by simpy; every run with one seed
+is the same.
+"""
+
 import random
 import zlib
 
@@ -14,12 +17,21 @@
         self.world, self.name = world, name
 
     def put(self, level, text, *values):
-        self.world.lines.append(f"{self.world.env.now:9.1f} {self.name} {level} {text % values if values else text}")
+        self.world.lines.append(
+            f"{self.world.env.now:9.1f} {self.name} {level} {text % values if values else text}"
+        )
+
+    def debug(self, *a):
+        self.put("debug", *a)
 
-    def debug(self, *a): self.put("debug", *a)
-    def info(self, *a): self.put("info", *a)
-    def warning(self, *a): self.put("warning", *a)
-    def error(self, *a): self.put("error", *a)
+    def info(self, *a):
+        self.put("info", *a)
+
+    def warning(self, *a):
+        self.put("warning", *a)
+
+    def error(self, *a):
+        self.put("error", *a)
 
 
 class Timer:
@@ -55,7 +67,9 @@
             self.protocol.data_received(data)
 
     def at(self):
-        self.last_at = max(self.last_at, self.world.env.now + self.world.delay(self.mine, self.theirs))
+        self.last_at = max(
+            self.last_at, self.world.env.now + self.world.delay(self.mine, self.theirs)
+        )
         return self.last_at - self.world.env.now
 
     def write(self, data):
@@ -128,7 +142,9 @@
             self.crossed += len(data)
 
     def freeze(self, context, ms):
-        """Stops a daemon for a while: what would have reached it meanwhile reaches it when it thaws."""
+        """Stops a daemon for a while: what would have reached it meanwhile reaches it when it
+        thaws.
+        """
         self.frozen[context] = self.env.now + ms
 
     def thaw_ms(self, context):
@@ -241,6 +257,7 @@
             world.transports += [far, near]
             far.protocol.connection_made(far)
             self.after(world.delay(mine, address[0]), protocol.connection_made, near)
+
         self.after(world.delay(mine, address[0]), arrive)
 
     def disk(self, work, done):
@@ -253,6 +270,7 @@
             except Exception as caught:
                 result, failure = None, caught
             self.after(1.0, done, result, failure)
+
         self.after(1.0, step)
 
 
@@ -270,6 +288,7 @@
             found = world.sockets.get(address)
             if found is not None and found[0].alive and not world.thaw_ms(found[0]):
                 found[1].datagram_received(data, self.address)
+
         world.later(world.delay(self.address[0], address[0]), arrive)
 
 
@@ -347,9 +366,19 @@
 
     def settings(self, ip, zone, listen, first):
         seeds = ", ".join(f'"10.0.0.{n}:8000"' for n in (1, 2, 3))
-        return read_settings(SETTINGS.format(name=f"node-{ip}", ip=ip, zone=zone, region=zone[0], seeds=seeds,
-                                            listen=listen, counted="true", first="true" if first else "false")
-                            + self.more)
+        return read_settings(
+            SETTINGS.format(
+                name=f"node-{ip}",
+                ip=ip,
+                zone=zone,
+                region=zone[0],
+                seeds=seeds,
+                listen=listen,
+                counted="true",
+                first="true" if first else "false",
+            )
+            + self.more
+        )
 
     def start_core(self, number, first):
         self.start_registry(number, first)
@@ -357,9 +386,12 @@
 
     def start_registry(self, number, first=False):
         from stagevale.programs.registry import Registry
+
         ip = f"10.0.0.{number + 1}"
         self.world.regions[ip] = ZONES[number % 6][0]
-        settings = self.settings(ip, ZONES[number % 6], f'control = "{ip}:8000"\ndirectory = "{ip}:8001"', first)
+        settings = self.settings(
+            ip, ZONES[number % 6], f'control = "{ip}:8000"\ndirectory = "{ip}:8001"', first
+        )
         settings.data_path = ""
         logs = self.world.disks.setdefault("sessions " + ip, MemoryLog())
         daemon = Registry(SimContext(self.world, settings, f"registry-{number + 1}"), "/none")
@@ -374,11 +406,16 @@
         from stagevale.configuration.keeping import Keeper
         from stagevale.placement import place
         from stagevale.programs import Daemon
+
         ip = f"10.0.0.{number + 1}"
-        context = SimContext(self.world, self.settings(ip, ZONES[number % 6], "", first), f"store-{number + 1}")
+        context = SimContext(
+            self.world, self.settings(ip, ZONES[number % 6], "", first), f"store-{number + 1}"
+        )
         daemon = Daemon(context, "store", 1, "/none")
         disk = self.world.disks.setdefault(ip, MemoryDisk())
-        daemon.membership.placer = lambda members, table, moves: place(members, table, moves, context.settings.zones)
+        daemon.membership.placer = lambda members, table, moves: place(
+            members, table, moves, context.settings.zones
+        )
         keeper = Keeper(context, daemon.board, daemon.membership, disk)
         self.stores[number] = keeper
         daemon.begin()
@@ -386,8 +423,11 @@
 
     def start_proxy(self, number):
         from stagevale.programs.proxy import Proxy
+
         ip = f"10.0.1.{number + 1}"
-        settings = self.settings(ip, ZONES[number % 6], f'front = "{ip}:9000"\nready = "{ip}:9001"', True)
+        settings = self.settings(
+            ip, ZONES[number % 6], f'front = "{ip}:9000"\nready = "{ip}:9001"', True
+        )
         daemon = Proxy(SimContext(self.world, settings, f"proxy-{number + 1}"), "/none")
         self.proxies[number] = daemon
         daemon.begin()
@@ -403,21 +443,34 @@
         self.world.disks[f"duties 10.0.0.{number + 1}"] = MemoryDisk()
 
     def daemons(self):
-        return [daemon for daemon in list(self.registries.values()) + list(self.proxies.values())
-                if daemon.context.alive] + [keeper for keeper in self.stores.values() if keeper.context.alive]
+        return [
+            daemon
+            for daemon in list(self.registries.values()) + list(self.proxies.values())
+            if daemon.context.alive
+        ] + [keeper for keeper in self.stores.values() if keeper.context.alive]
 
     def formed(self, count):
-        return all(len([m for m in daemon.membership.state.members.values() if m.state == 1]) == count
-                   and daemon.membership.converged() for daemon in self.daemons())
+        return all(
+            len([m for m in daemon.membership.state.members.values() if m.state == 1]) == count
+            and daemon.membership.converged()
+            for daemon in self.daemons()
+        )
 
     def owners(self):
-        return [number + 1 for number, keeper in self.stores.items()
-                if keeper.context.alive and keeper.ballot is not None and keeper.chosen is not None]
+        return [
+            number + 1
+            for number, keeper in self.stores.items()
+            if keeper.context.alive and keeper.ballot is not None and keeper.chosen is not None
+        ]
 
     def order(self, number, order, payload, wait_ms=3000):
-        """Sends an operator's order to one registry; returns (status, text), or None where none came."""
+        """Sends an operator's order to one registry; returns (status, text), or None where none
+        came.
+        """
         got = []
-        self.registries[number].desk.order(order, payload, lambda status, text: got.append((status, text)))
+        self.registries[number].desk.order(
+            order, payload, lambda status, text: got.append((status, text))
+        )
         self.world.until(lambda: got, wait_ms)
         return got[0] if got else None
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,4 +1,5 @@
 """Stand-ins for clients and endpoints: raw bytes in and out, on the simulated network."""
+
 import asyncio
 import json
 
@@ -29,7 +30,9 @@
 
 
 class Endpoint:
-    """An endpoint that answers by a rule: rule(endpoint, head, body) gives bytes, or None for silence."""
+    """An endpoint that answers by a rule: rule(endpoint, head, body) gives bytes, or None for
+    silence.
+    """
 
     def __init__(self, world, number, rule, zone="a1", service="s", software=""):
         self.software = software
@@ -42,8 +45,19 @@
         world.listeners[(self.ip, 80)] = (self, lambda: EndpointSide(self))
 
     def life(self, state=READY, cold_ms=0, seq=1):
-        return Life(self.id, self.service, f"{self.ip}:80", self.zone, 3, state, seq, 0, seq if cold_ms else 0, cold_ms,
-                    software=self.software)
+        return Life(
+            self.id,
+            self.service,
+            f"{self.ip}:80",
+            self.zone,
+            3,
+            state,
+            seq,
+            0,
+            seq if cold_ms else 0,
+            cold_ms,
+            software=self.software,
+        )
 
 
 class EndpointSide(asyncio.Protocol):
@@ -79,8 +93,18 @@
     """The whole answer of an endpoint that ran the request."""
     id = fields[b"attempt-id"]
     endpoint.ran.append(id.decode())
-    return (b"HTTP/1.1 200 OK\r\nAttempt-Id: " + id + b"\r\nServer-Seal: seal." + id + b"\r\nContent-Length: "
-            + str(len(text)).encode() + b"\r\n" + extra + b"\r\n" + text)
+    return (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: "
+        + id
+        + b"\r\nServer-Seal: seal."
+        + id
+        + b"\r\nContent-Length: "
+        + str(len(text)).encode()
+        + b"\r\n"
+        + extra
+        + b"\r\n"
+        + text
+    )
 
 
 class Client(asyncio.Protocol):
@@ -128,23 +152,37 @@
         self.proxy.begin()
         self.endpoints = []
         routes = routes or [route("pure", "/p/"), route("effectful", "/e/")]
-        self.config = {"version": "r1", "routes": routes,
-                       "services": [{"name": name, "maxConns": 50, "warmupS": 3, "coldPerS": 6} for name in ("s", "t")],
-                       "limits": {"headerMaxBytes": 2000, "bodyMaxBytes": 5000, "headerReadMs": 1000, "idleMs": 5000},
-                       **(more or {})}
+        self.config = {
+            "version": "r1",
+            "routes": routes,
+            "services": [
+                {"name": name, "maxConns": 50, "warmupS": 3, "coldPerS": 6} for name in ("s", "t")
+            ],
+            "limits": {
+                "headerMaxBytes": 2000,
+                "bodyMaxBytes": 5000,
+                "headerReadMs": 1000,
+                "idleMs": 5000,
+            },
+            **(more or {}),
+        }
         self.value = Value(1, 1, json.dumps(self.config), (), (), {})
         self.snapshot(self.value)
 
     def change(self, **more):
         """The next configuration, with these things changed."""
         self.config = {**self.config, **more}
-        self.value = self.value.after(version=self.value.version + 1, config=json.dumps(self.config))
+        self.value = self.value.after(
+            version=self.value.version + 1, config=json.dumps(self.config)
+        )
         self.snapshot(self.value)
 
     def snapshot(self, value):
         self.proxy.forwarder.snapshot = self.proxy.forwarder.snapshot.with_value(value)
         self.proxy.lives_heard = True
-        self.proxy.forwarder.snapshot = self.proxy.forwarder.snapshot.with_proxies((("10.0.1.1:7200", "a1", "a"),))
+        self.proxy.forwarder.snapshot = self.proxy.forwarder.snapshot.with_proxies(
+            (("10.0.1.1:7200", "a1", "a"),)
+        )
 
     def endpoint(self, rule=good, zone="a1", service="s"):
         endpoint = Endpoint(self.world, len(self.endpoints) + 1, rule, zone, service)
@@ -154,7 +192,9 @@
 
     def tell(self, life):
         self.proxy.take_life(life, self.world.env.now, self.proxy.forwarder.snapshot)
-        self.proxy.forwarder.snapshot = self.proxy.forwarder.snapshot.with_targets(self.proxy.tables())
+        self.proxy.forwarder.snapshot = self.proxy.forwarder.snapshot.with_targets(
+            self.proxy.tables()
+        )
 
     def client(self, data=b""):
         client = client_at(self.world, "10.0.1.1")
@@ -164,12 +204,25 @@
 
 
 def route(variant, prefix, **more):
-    return {"name": f"r-{variant}{prefix}", "host": "h.example", "pathPrefix": prefix, "variant": variant,
-            "timeoutMs": 2000, "targetMs": 400, "priority": 1, "service": "s", "maxAttempts": 2, **more}
+    return {
+        "name": f"r-{variant}{prefix}",
+        "host": "h.example",
+        "pathPrefix": prefix,
+        "variant": variant,
+        "timeoutMs": 2000,
+        "targetMs": 400,
+        "priority": 1,
+        "service": "s",
+        "maxAttempts": 2,
+        **more,
+    }
 
 
 def request(path="/p/x", id="1", method="GET", body=b"", host="h.example", more=b""):
-    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1500\r\n".encode() + more
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 1500\r\n".encode()
+        + more
+    )
     if body:
         head += b"Content-Length: " + str(len(body)).encode() + b"\r\n"
     return head + b"\r\n" + body
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -1,11 +1,23 @@
-"""Session records: at most one run of a key wherever it is repeated, while daemons are lost at every step."""
+"""Session records: at most one run of a key wherever it is repeated, while daemons are lost at
+every step.
+"""
+
 import json
 
 import pytest
 
 from simworld import Fleet
 from standins import Endpoint, client_at, good, request
-from stagevale.affinity import ANSWERED, FREE, NOTED, Entry, Record, choose_members, fingerprint_of, tend
+from stagevale.affinity import (
+    ANSWERED,
+    FREE,
+    NOTED,
+    Entry,
+    Record,
+    choose_members,
+    fingerprint_of,
+    tend,
+)
 from stagevale.affinity.log import SessionLog
 from stagevale.configuration.checking import read_config
 from stagevale.configuration.disk import Folder
@@ -14,14 +26,31 @@
 
 
 def route(prefix, variant, **more):
-    return {"name": prefix, "host": "h.example", "pathPrefix": prefix, "variant": variant, "timeoutMs": 3000,
-            "targetMs": 1000, "service": "s", "maxAttempts": 2, "affinity": AFFINITY, **more}
-
-
-CONFIG = {"version": "r1", "parentVersion": 0,
-          "routes": [route("/e/", "effectful"), route("/p/", "pure"), route("/home/", "effectful", homeRegions=["a", "b"]),
-                     route("/plain/", "effectful", affinity=None)],
-          "services": [{"name": "s", "maxConns": 90, "warmupS": 0, "coldPerS": 999}]}
+    return {
+        "name": prefix,
+        "host": "h.example",
+        "pathPrefix": prefix,
+        "variant": variant,
+        "timeoutMs": 3000,
+        "targetMs": 1000,
+        "service": "s",
+        "maxAttempts": 2,
+        "affinity": AFFINITY,
+        **more,
+    }
+
+
+CONFIG = {
+    "version": "r1",
+    "parentVersion": 0,
+    "routes": [
+        route("/e/", "effectful"),
+        route("/p/", "pure"),
+        route("/home/", "effectful", homeRegions=["a", "b"]),
+        route("/plain/", "effectful", affinity=None),
+    ],
+    "services": [{"name": "s", "maxConns": 90, "warmupS": 0, "coldPerS": 999}],
+}
 
 
 class Crossing:
@@ -30,7 +59,9 @@
     def __init__(self, seed=1, proxies=6, noting=True):
         self.fleet = Fleet(seed, proxies)
         self.world = self.fleet.world
-        assert self.world.until(lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 25000)
+        assert self.world.until(
+            lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 25000
+        )
         assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
         self.runs, self.clients, self.work_ms, self.rule, self.number = [], [], 60, None, 0
         self.endpoints = []
@@ -43,15 +74,21 @@
             proxy.forwarder.holdings.noting = noting
 
     def ready(self):
-        return all(len(p.targets) == 6 and len(p.forwarder.snapshot.sessions) == 16 and not
-                   any(before for _, _, before in p.forwarder.snapshot.sessions.values())
-                   for p in self.fleet.proxies.values() if p.context.alive)
+        return all(
+            len(p.targets) == 6
+            and len(p.forwarder.snapshot.sessions) == 16
+            and not any(before for _, _, before in p.forwarder.snapshot.sessions.values())
+            for p in self.fleet.proxies.values()
+            if p.context.alive
+        )
 
     def beat(self, place, endpoint, seq):
         self.world.later(1500, self.beat, place, endpoint, seq + 1)
         for number in (place, (place + 1) % 6):
             if self.fleet.registries[number].context.alive:
-                self.fleet.registries[number].desk.take_in(endpoint.life(seq=seq), lambda status, body: None)
+                self.fleet.registries[number].desk.take_in(
+                    endpoint.life(seq=seq), lambda status, body: None
+                )
                 return
 
     def run(self, endpoint, fields, body):
@@ -74,7 +111,9 @@
             heads += b"Session-Id: " + session.encode() + b"\r\n"
         if key is not None:
             heads += b"Idempotency-Key: " + key.encode() + b"\r\n"
-        client.transport.write(request(path, f"a{self.number}", "POST" if body else "GET", body, more=heads + more))
+        client.transport.write(
+            request(path, f"a{self.number}", "POST" if body else "GET", body, more=heads + more)
+        )
         client.id = f"a{self.number}"
         return client
 
@@ -106,8 +145,13 @@
     first = day.send(0, "k1")
     day.world.run(400)
     beside, across = day.send(0, "k1"), day.send(1, "k1")
-    assert [day.answer(client) for client in (first, beside, across)] == ["200"] * 3 and day.ran("k1") == 1
-    day.rule = lambda endpoint, fields, body: (day.runs.append((0, fields[b"idempotency-key"].decode(), "")), b"")[1]
+    assert [day.answer(client) for client in (first, beside, across)] == ["200"] * 3 and day.ran(
+        "k1"
+    ) == 1
+    day.rule = lambda endpoint, fields, body: (
+        day.runs.append((0, fields[b"idempotency-key"].decode(), "")),
+        b"",
+    )[1]
     silent = day.send(0, "k2")
     day.world.run(400)
     late = day.send(1, "k2", more=b"")
@@ -129,7 +173,9 @@
 
 def test_what_did_not_run_may_run_later():
     day = Crossing(seed=4)
-    day.rule = lambda endpoint, fields, body: b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    day.rule = lambda endpoint, fields, body: (
+        b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
     assert day.answer(day.send(0, "k1")) == "503"
     day.rule = None
     day.world.run(1500)
@@ -145,6 +191,7 @@
             turned.append(endpoint.id)
             return b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 250
         return None
+
     day.rule = rule
     first = day.send(0, "k1")
     day.world.run(330)
@@ -155,11 +202,17 @@
     assert day.answer(day.send(2, "k1")) == "200" and day.ran("k1") == 1
 
 
-@pytest.mark.parametrize("head, field", [
-    (b"Session-Id: \r\n", "session-id"), (b"Session-Id: a\r\nSession-Id: b\r\n", "session-id"),
-    (b"Session-Id: " + b"s" * 300 + b"\r\n", "session-id"), (b"Session-Id: a\r\nIdempotency-Key: \r\n", "idempotency-key"),
-    (b"Session-Id: a\r\nIdempotency-Key: k\r\nIdempotency-Key: k\r\n", "idempotency-key"),
-    (b"Session-Id: a\r\nIdempotency-Key: " + b"k" * 300 + b"\r\n", "idempotency-key")])
+@pytest.mark.parametrize(
+    "head, field",
+    [
+        (b"Session-Id: \r\n", "session-id"),
+        (b"Session-Id: a\r\nSession-Id: b\r\n", "session-id"),
+        (b"Session-Id: " + b"s" * 300 + b"\r\n", "session-id"),
+        (b"Session-Id: a\r\nIdempotency-Key: \r\n", "idempotency-key"),
+        (b"Session-Id: a\r\nIdempotency-Key: k\r\nIdempotency-Key: k\r\n", "idempotency-key"),
+        (b"Session-Id: a\r\nIdempotency-Key: " + b"k" * 300 + b"\r\n", "idempotency-key"),
+    ],
+)
 def test_bad_headers_are_a_400_and_nothing_runs(head, field):
     day = Crossing(seed=5)
     before = len(day.runs)
@@ -194,7 +247,9 @@
     region_of = {r.board.address: r.membership.me.region for r in day.fleet.registries.values()}
     for name, (_, members, _) in groups.items():
         assert len(members) == 3
-        assert {region_of[address] for address in members} == ({"a", "b"} if name.startswith("a,b") else {"a", "b", "c"})
+        assert {region_of[address] for address in members} == (
+            {"a", "b"} if name.startswith("a,b") else {"a", "b", "c"}
+        )
 
 
 def test_reads_never_wait_and_keep_to_the_sessions_endpoint():
@@ -251,18 +306,35 @@
     day.world.later(6000, day.fleet.start_proxy, number)
 
 
-STRIKES = {"none": None, "proxies killed": kill_proxy, "proxies frozen": freeze_proxy, "proxies cut": cut_proxy,
-           "core killed": kill_core, "core wiped": wipe_core, "regions lost": lose_region, "proxies end": end_proxy}
+STRIKES = {
+    "none": None,
+    "proxies killed": kill_proxy,
+    "proxies frozen": freeze_proxy,
+    "proxies cut": cut_proxy,
+    "core killed": kill_core,
+    "core wiped": wipe_core,
+    "regions lost": lose_region,
+    "proxies end": end_proxy,
+}
 
 
 def crossings(strike, seed, noting=True, sessions=20, seconds=9):
-    """Sessions send a key at one site, hang up or wait, and repeat it at other sites until it is answered.
+    """Sessions send a key at one site, hang up or wait, and repeat it at other sites until it is
+    answered.
 
-    Returns crossings, repeats answered, runs beyond the first, keys acknowledged and not run once, reads not served.
+    Returns crossings, repeats answered, runs beyond the first, keys acknowledged and not run once,
+    reads not served.
     """
     day = Crossing(seed, noting=noting)
     luck = day.world.random
-    state = {"crossings": 0, "repeats": 0, "acknowledged": set(), "reads": 0, "unread": 0, "asked": 0}
+    state = {
+        "crossings": 0,
+        "repeats": 0,
+        "acknowledged": set(),
+        "reads": 0,
+        "unread": 0,
+        "asked": 0,
+    }
     alive = {"on": True}
 
     def step(name, key, tries, site):
@@ -285,6 +357,7 @@
             if alive["on"]:
                 state["asked"] += 1
                 step(name, f"{key.split('.')[0]}.{state['asked']}", 0, luck.randrange(6))
+
         day.world.later(luck.uniform(30, 700), look)
 
     def read(name):
@@ -299,10 +372,16 @@
         sent_ms = day.world.env.now
 
         def look():
-            struck = not proxy.context.alive or day.world.frozen.get(proxy.context, 0) > sent_ms or proxy.ending
+            struck = (
+                not proxy.context.alive
+                or day.world.frozen.get(proxy.context, 0) > sent_ms
+                or proxy.ending
+            )
             if client.statuses() != ["200"] and not struck:
                 state["unread"] += 1
+
         day.world.later(1400, look)
+
     for number in range(sessions):
         day.world.later(luck.uniform(0, 400), step, f"s{number}", f"s{number}.0", 0, number % 6)
         day.world.later(luck.uniform(0, 900), read, f"s{number}")
@@ -335,7 +414,9 @@
 
 
 def test_a_turn_of_a_later_version_goes_over_a_late_word_on_an_earlier_one():
-    """A note that never had a majority, freed later than the next holder's note: taken for free, it would run twice."""
+    """A note that never had a majority, freed later than the next holder's note: taken for free, it
+    would run twice.
+    """
     one, other = Record(2, "p2"), Record(1, "p1")
     one.requests["k"] = Entry((2, "p2", 1), NOTED, "d", "p2", None, 9e9)
     other.requests["k"] = Entry((1, "p1", 1), FREE, "d", "p1", None, 9e9)
@@ -350,6 +431,7 @@
     class Registry:
         def __init__(self, number):
             self.address, self.region = f"10.0.0.{number}:7200", "abc"[number % 3]
+
     registries = [Registry(number) for number in range(1, 7)]
     sessions = tend({}, ["|0", "a|0"], registries, set())
     assert sessions["|0"][0] == 1 and sessions["|0"][2] == ("fresh",)
@@ -361,7 +443,9 @@
     after = tend(settled, [], [r for r in registries if r.address != lost], {lost})
     assert after["|0"][0] == 2 and after["|0"][2] == settled["|0"][1]
     assert lost not in after["|0"][1] and len(set(after["|0"][1]) & set(settled["|0"][1])) == 2
-    assert choose_members("|1", registries[:2], ()) and fingerprint_of(b"POST", b"/a", b"x") != fingerprint_of(b"POST", b"/a", b"y")
+    assert choose_members("|1", registries[:2], ()) and fingerprint_of(
+        b"POST", b"/a", b"x"
+    ) != fingerprint_of(b"POST", b"/a", b"y")
 
 
 def test_the_log_survives_torn_batches_and_is_written_whole_in_time(tmp_path):
@@ -379,7 +463,9 @@
     assert SessionLog(Folder(str(tmp_path))).load()[-1][2] == "s70"
 
 
-@pytest.mark.parametrize("affinity", [{}, {"header": ""}, {"header": "no header"}, {"header": "A: b"}, {"keepS": 5}, "x"])
+@pytest.mark.parametrize(
+    "affinity", [{}, {"header": ""}, {"header": "no header"}, {"header": "A: b"}, {"keepS": 5}, "x"]
+)
 def test_affinity_without_a_header_is_an_invalid_configuration(affinity):
     text = json.dumps({**CONFIG, "routes": [route("/e/", "effectful", affinity=affinity)]})
     checked = read_config(text)
@@ -391,14 +477,22 @@
     assert day.answer(day.send(0, "k1", session="fan-7")) == "200"
     assert day.answer(day.send(1, "k2", session="fan-7")) == "200"
     shown = []
-    day.fleet.registries[2].desk.show_session("fan-7", lambda status, body: shown.append((status, body)))
-    day.fleet.registries[2].desk.show_session("nobody", lambda status, body: shown.append((status, body)))
+    day.fleet.registries[2].desk.show_session(
+        "fan-7", lambda status, body: shown.append((status, body))
+    )
+    day.fleet.registries[2].desk.show_session(
+        "nobody", lambda status, body: shown.append((status, body))
+    )
     assert day.world.until(lambda: len(shown) == 2, 3000)
     assert sorted(status for status, _ in shown) == [200, 404]
     record = next(body for status, body in shown if status == 200)["records"][0]
-    assert record["holder"] == "10.0.1.2:7200" and [(j["key"], j["state"]) for j in record["requests"]] == [("k1", "answered"),
-                                                                                        ("k2", "answered")]
+    assert record["holder"] == "10.0.1.2:7200" and [
+        (j["key"], j["state"]) for j in record["requests"]
+    ] == [("k1", "answered"), ("k2", "answered")]
     stands = [registry.desk.stand()["sessions"] for registry in day.fleet.registries.values()]
-    assert sum(stand["handedOver"] for stand in stands) >= 2 and sum(stand["noted"] for stand in stands) >= 4
+    assert (
+        sum(stand["handedOver"] for stand in stands) >= 2
+        and sum(stand["noted"] for stand in stands) >= 4
+    )
     assert not any("fan-7" in line for line in day.world.lines)
     assert not any("fan-7" in json.dumps(stand) for stand in stands)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,4 +1,5 @@
 """What a store's disk holds after a loss of power at any point of a save."""
+
 import os
 import shutil
 
@@ -10,7 +11,9 @@
 
 
 def states(data):
-    """What a file may hold that was being written when power went: nothing, a part, a part torn, or all."""
+    """What a file may hold that was being written when power went: nothing, a part, a part torn, or
+    all.
+    """
     yield None
     for cut in sorted({0, 1, len(data) // 3, len(data) // 2, len(data) - 1}):
         yield data[:cut]
@@ -36,7 +39,9 @@
     assert fresh == ["register-2.dat", "register-2.dir"]
     dat_bytes, dir_bytes = ((after / name).read_bytes() for name in fresh)
     seen = set()
-    for number, (dat, index) in enumerate((a, b) for a in states(dat_bytes) for b in states(dir_bytes)):
+    for number, (dat, index) in enumerate(
+        (a, b) for a in states(dat_bytes) for b in states(dir_bytes)
+    ):
         folder = tmp_path / f"torn-{number}"
         shutil.copytree(before, folder)
         for name, data in zip(fresh, (dat, index)):
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -1,4 +1,7 @@
-"""The doctor against files, stand-ins and real daemons; the daemons' command line, signals and exit codes."""
+"""The doctor against files, stand-ins and real daemons; the daemons' command line, signals and exit
+codes.
+"""
+
 import http.client
 import json
 import os
@@ -58,13 +61,19 @@
 
     def __init__(self, name, path):
         environment = {**os.environ, "STAGEVALE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
-        self.process = subprocess.Popen([sys.executable, "-m", "stagevale", name], cwd=ROOT, env=environment,
-                                        stderr=subprocess.PIPE)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "stagevale", name],
+            cwd=ROOT,
+            env=environment,
+            stderr=subprocess.PIPE,
+        )
         self.text = b""
 
     def logs(self, word, limit_s=60):
         while word.encode() not in self.text:
-            assert select.select([self.process.stderr], [], [], limit_s)[0], f"no '{word}' in: {self.text.decode()}"
+            assert select.select([self.process.stderr], [], [], limit_s)[0], (
+                f"no '{word}' in: {self.text.decode()}"
+            )
             data = os.read(self.process.stderr.fileno(), 65536)
             assert data, f"ended before '{word}': {self.text.decode()}"
             self.text += data
@@ -92,13 +101,35 @@
         inner -= 600
     files = {}
     for name, ip, klass, listen, data in (
-            ("registry", "127.0.0.1", "core", f'control = "127.0.0.1:{control}"\ndirectory = "127.0.0.1:{directory}"',
-             f'dataPath = "{tmp_path}"'),
-            ("store", "127.0.0.1", "core", "", f'dataPath = "{tmp_path}/store"'),
-            ("proxy", "127.0.0.2", "edge", f'front = "127.0.0.2:{front}"\nready = "127.0.0.2:{ready}"', "")):
+        (
+            "registry",
+            "127.0.0.1",
+            "core",
+            f'control = "127.0.0.1:{control}"\ndirectory = "127.0.0.1:{directory}"',
+            f'dataPath = "{tmp_path}"',
+        ),
+        ("store", "127.0.0.1", "core", "", f'dataPath = "{tmp_path}/store"'),
+        (
+            "proxy",
+            "127.0.0.2",
+            "edge",
+            f'front = "127.0.0.2:{front}"\nready = "127.0.0.2:{ready}"',
+            "",
+        ),
+    ):
         files[name] = tmp_path / f"{name}.toml"
-        files[name].write_text(SETTINGS.format(name=name, ip=ip, klass=klass, listen=listen, data=data, inner=inner,
-                                               innerEnd=inner + 9, control=control))
+        files[name].write_text(
+            SETTINGS.format(
+                name=name,
+                ip=ip,
+                klass=klass,
+                listen=listen,
+                data=data,
+                inner=inner,
+                innerEnd=inner + 9,
+                control=control,
+            )
+        )
     programs = {name: Program(name, path) for name, path in files.items()}
     try:
         programs["store"].logs("won the configuration duty")
@@ -108,11 +139,19 @@
             if status == 200:
                 break
         assert status == 200, text
-        beat = {"address": "127.0.0.3:1", "details": {"service": "s", "zone": "a1", "slots": 2},
-                "status": {"state": "ready", "callSeq": 1, "coldLeftMs": 0}}
-        assert call("127.0.0.1", control, "POST", "/v1/instances/i-1/heartbeat", json.dumps(beat))[0] == 200
+        beat = {
+            "address": "127.0.0.3:1",
+            "details": {"service": "s", "zone": "a1", "slots": 2},
+            "status": {"state": "ready", "callSeq": 1, "coldLeftMs": 0},
+        }
+        assert (
+            call("127.0.0.1", control, "POST", "/v1/instances/i-1/heartbeat", json.dumps(beat))[0]
+            == 200
+        )
         programs["proxy"].logs("configuration r1")
-        assert json.loads(call("127.0.0.1", control, "GET", "/v1/config/read")[1])["version"] == "r1"
+        assert (
+            json.loads(call("127.0.0.1", control, "GET", "/v1/config/read")[1])["version"] == "r1"
+        )
         assert call("127.0.0.1", control, "PUT", "/v1/config/read")[0] == 405
         assert call("127.0.0.1", control, "GET", "/v1/nothing")[0] == 404
         assert call("127.0.0.1", control, "POST", "/v1/instances/i-2/heartbeat", "{")[0] == 400
@@ -120,8 +159,18 @@
         programs["proxy"].logs("ready to serve")
         assert call("127.0.0.2", ready, "GET", "/v1/readiness")[0] == 200
         programs["registry"].logs(f"membership: 127.0.0.1:{inner + 1} is up")
-        assert app(["doctor", "--settings", str(files["registry"]), "--control", f"127.0.0.1:{control}",
-                    "--ready", f"127.0.0.2:{ready}", "--json"]) in (0, 1)
+        assert app(
+            [
+                "doctor",
+                "--settings",
+                str(files["registry"]),
+                "--control",
+                f"127.0.0.1:{control}",
+                "--ready",
+                f"127.0.0.2:{ready}",
+                "--json",
+            ]
+        ) in (0, 1)
         found = json.loads(capsys.readouterr().out)["findings"]
         assert all(row["where"] == "s" for row in found), found
         assert app(["rehearse", "a", "--control", f"127.0.0.1:{control}"]) == 2
@@ -143,9 +192,29 @@
 def partners_and_sessions(tmp_path, capsys, control):
     """The commands about partners and sessions, as an operator would try them."""
     offer = tmp_path / "offer.json"
-    offer.write_text(json.dumps({"version": "r1", "routes": [
-        {"host": "w.example", "pathPrefix": "/w/", "variant": "effectful", "timeoutMs": 900, "service": "s"}],
-        "restrictions": [{"name": "not-x", "withholds": {"pathPrefix": "/w/x/"}, "from": {"everybody": True}}]}))
+    offer.write_text(
+        json.dumps(
+            {
+                "version": "r1",
+                "routes": [
+                    {
+                        "host": "w.example",
+                        "pathPrefix": "/w/",
+                        "variant": "effectful",
+                        "timeoutMs": 900,
+                        "service": "s",
+                    }
+                ],
+                "restrictions": [
+                    {
+                        "name": "not-x",
+                        "withholds": {"pathPrefix": "/w/x/"},
+                        "from": {"everybody": True},
+                    }
+                ],
+            }
+        )
+    )
     at = ["--control", control]
     assert app(["partners", "offer", "north", str(offer)] + at) == 0
     assert "in force" in capsys.readouterr().out
@@ -169,8 +238,19 @@
     assert app(["partners", "withdraw", "north"] + at) == 0
     assert app(["partners", "explain", "w.example", "/w/1"] + at) == 1
     shift = tmp_path / "shift.json"
-    shift.write_text(json.dumps({"version": "r1", "from": "v1", "to": "v2", "steps": [0.1, 1.0], "failureShare": 0.05,
-                                 "leastRequests": 20, "watchS": 60}))
+    shift.write_text(
+        json.dumps(
+            {
+                "version": "r1",
+                "from": "v1",
+                "to": "v2",
+                "steps": [0.1, 1.0],
+                "failureShare": 0.05,
+                "leastRequests": 20,
+                "watchS": 60,
+            }
+        )
+    )
     capsys.readouterr()
     assert app(["rollouts", "show"] + at) == 0 and "no rollouts" in capsys.readouterr().out
     assert app(["rollouts", "start", "nothing", str(shift)] + at) == 1
@@ -194,49 +274,92 @@
     assert app(["sessions", "show", ""] + at) == 2
 
 
-@pytest.mark.parametrize("change, word", [
-    (("ip = \"{ip}\"", "ip = 5"), "daemon.ip"), (("[{inner}, {innerEnd}]", "[5]"), "connections.innerPorts"),
-    (("contactMs = 1000", "contactMs = -1"), "bounds.contactMs"), (("[daemon]", "[daemon"), "not TOML"),
-    (('seeds = ["127.0.0.1:{control}"]', 'seeds = ["here"]'), "connections.seeds")])
+@pytest.mark.parametrize(
+    "change, word",
+    [
+        (('ip = "{ip}"', "ip = 5"), "daemon.ip"),
+        (("[{inner}, {innerEnd}]", "[5]"), "connections.innerPorts"),
+        (("contactMs = 1000", "contactMs = -1"), "bounds.contactMs"),
+        (("[daemon]", "[daemon"), "not TOML"),
+        (('seeds = ["127.0.0.1:{control}"]', 'seeds = ["here"]'), "connections.seeds"),
+    ],
+)
 def test_invalid_settings_name_the_field_and_exit_2(tmp_path, change, word):
     path = tmp_path / "settings.toml"
-    path.write_text(SETTINGS.replace(*change).format(name="n", ip="127.0.0.1", klass="core", listen="", data="",
-                                                     inner=7000, innerEnd=7010, control=8000))
+    path.write_text(
+        SETTINGS.replace(*change).format(
+            name="n",
+            ip="127.0.0.1",
+            klass="core",
+            listen="",
+            data="",
+            inner=7000,
+            innerEnd=7010,
+            control=8000,
+        )
+    )
     environment = {**os.environ, "STAGEVALE_CONFIG": str(path)}
-    ended = subprocess.run([sys.executable, "-m", "stagevale", "store"], cwd=ROOT, env=environment,
-                           capture_output=True, text=True)
+    ended = subprocess.run(
+        [sys.executable, "-m", "stagevale", "store"],
+        cwd=ROOT,
+        env=environment,
+        capture_output=True,
+        text=True,
+    )
     assert ended.returncode == 2 and word in ended.stderr and "Traceback" not in ended.stderr
 
 
 def test_files_with_faults(tmp_path, capsys):
     deploy = tmp_path / "deploy.toml"
-    deploy.write_text('[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]\nshare = 2\n'
-                      '[roles.b]\nrun = "y"\non = "edge"\nserves = ["edge"]\n')
+    deploy.write_text(
+        '[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]\nshare = 2\n'
+        '[roles.b]\nrun = "y"\non = "edge"\nserves = ["edge"]\n'
+    )
     wrong = tmp_path / "config.json"
     wrong.write_text(config(1, 0, service="other"))
     assert app(["doctor", "--deploy", str(deploy), "--config", str(wrong)]) == 1
     text = capsys.readouterr().out
-    for word in ("share is 2", "serves edge as a does", "no role serves control", "unknown service other"):
+    for word in (
+        "share is 2",
+        "serves edge as a does",
+        "no role serves control",
+        "unknown service other",
+    ):
         assert word in text
     assert app(["doctor", "--config", str(tmp_path / "none")]) == 2
     assert "--config" in capsys.readouterr().err
     assert app(["doctor", "--deploy", str(ROOT / "deploy" / "system.toml")]) == 0
 
 
-@pytest.mark.parametrize("words", [["doctor"], ["doctor", "--ready", "127.0.0.1:1"], ["doctor", "--control", "x"],
-                                   ["nothing"], ["doctor", "--odd", "1"], ["rehearse", "a"],
-                                   ["rehearse", "a", "--control", "127.0.0.1:1", "--seconds", "0"],
-                                   ["rehearse", "a", "--control", "127.0.0.1:1"]])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["doctor"],
+        ["doctor", "--ready", "127.0.0.1:1"],
+        ["doctor", "--control", "x"],
+        ["nothing"],
+        ["doctor", "--odd", "1"],
+        ["rehearse", "a"],
+        ["rehearse", "a", "--control", "127.0.0.1:1", "--seconds", "0"],
+        ["rehearse", "a", "--control", "127.0.0.1:1"],
+    ],
+)
 def test_misuse_exits_2_with_words_on_standard_error(words, capsys):
     assert app(words) == 2
     assert capsys.readouterr().err.startswith("stagevale: ")
 
 
 def test_stand_in_registry_with_faults(capsys):
-    stand = {"inContact": False, "evacuated": ["a1"], "votes": ["x:1", "y:1", "z:1"],
-             "members": [{"address": "x:1", "program": "store", "state": "up", "reachable": True},
-                         {"address": "y:1", "program": "store", "state": "down", "reachable": True}],
-             "endpoints": [{"service": "s", "state": "ready", "healthy": False}]}
+    stand = {
+        "inContact": False,
+        "evacuated": ["a1"],
+        "votes": ["x:1", "y:1", "z:1"],
+        "members": [
+            {"address": "x:1", "program": "store", "state": "up", "reachable": True},
+            {"address": "y:1", "program": "store", "state": "down", "reachable": True},
+        ],
+        "endpoints": [{"service": "s", "state": "ready", "healthy": False}],
+    }
 
     class Answers(BaseHTTPRequestHandler):
         def do_GET(self):
@@ -249,6 +372,7 @@
 
         def log_message(self, *words):
             pass
+
     server = HTTPServer(("127.0.0.1", 0), Answers)
     thread = threading.Thread(target=server.serve_forever)
     thread.start()
@@ -259,6 +383,12 @@
         thread.join()
         server.server_close()
     text = capsys.readouterr().out
-    for word in ("does not hear a majority", "y:1: store is down", "no majority of the configuration's voters",
-                 "evacuated: a1", "no endpoint is healthy", "can't be read"):
+    for word in (
+        "does not hear a majority",
+        "y:1: store is down",
+        "no majority of the configuration's voters",
+        "evacuated: a1",
+        "no endpoint is healthy",
+        "can't be read",
+    ):
         assert word in text
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,4 +1,7 @@
-"""The duties at the platform, against a stand-in that fences, refuses, is slow, down or silent; seen at its sockets."""
+"""The duties at the platform, against a stand-in that fences, refuses, is slow, down or silent;
+seen at its sockets.
+"""
+
 import asyncio
 import json
 
@@ -11,7 +14,9 @@
 
 
 class Platform:
-    """Keeps every report it read, with when, by whom and under which fence; answers as `mode` says."""
+    """Keeps every report it read, with when, by whom and under which fence; answers as `mode`
+    says.
+    """
 
     def __init__(self, world):
         self.world, self.mode, self.slow_ms, self.alive = world, "well", 20, True
@@ -33,14 +38,20 @@
         windows = {}
         for call in self.taken():
             body = json.loads(call["body"])
-            assert windows.setdefault(body["windowNo"], call["body"]) == call["body"], "two reports for one window"
+            assert windows.setdefault(body["windowNo"], call["body"]) == call["body"], (
+                "two reports for one window"
+            )
         return {window: json.loads(text)["counts"] for window, text in windows.items()}
 
     def check(self, lease_ms=3000):
-        """The rules: one report a window, one holder a fence, no holder back within the lease after another."""
+        """The rules: one report a window, one holder a fence, no holder back within the lease after
+        another.
+        """
         holders = {}
         for call in self.calls:
-            assert holders.setdefault(call["fence"], call["holder"]) == call["holder"], "a fence with two holders"
+            assert holders.setdefault(call["fence"], call["holder"]) == call["holder"], (
+                "a fence with two holders"
+            )
         acts = [(call["atMs"], call["holder"]) for call in self.taken()]
         for at, (later_ms, holder) in enumerate(acts):
             others = [ms for ms, who in acts[:at] if who != holder]
@@ -67,11 +78,21 @@
         fence = int(fields[b"fence"])
         status = 429 if platform.mode == "busy" else 409 if fence < platform.highest else 200
         platform.highest = max(platform.highest, fence)
-        platform.calls.append({"atMs": platform.world.env.now, "holder": fields[b"duty-holder"].decode(),
-                               "fence": fence, "body": body.decode(), "status": status})
+        platform.calls.append(
+            {
+                "atMs": platform.world.env.now,
+                "holder": fields[b"duty-holder"].decode(),
+                "fence": fence,
+                "body": body.decode(),
+                "status": status,
+            }
+        )
         if platform.mode != "silent":
-            platform.world.later(platform.slow_ms, self.transport.write,
-                                 f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
+            platform.world.later(
+                platform.slow_ms,
+                self.transport.write,
+                f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode(),
+            )
 
 
 class Days:
@@ -82,8 +103,13 @@
         self.world = self.fleet.world
         self.platform = Platform(self.world)
         self.truth, self.every_ms, self.busy = {}, every_ms, True
-        assert self.world.until(lambda: self.holder() is not None and self.fleet.formed(12 + proxies), 20000)
-        assert self.world.until(lambda: all(proxy.forwarder.counts.offset_ms for proxy in self.fleet.proxies.values()), 9000)
+        assert self.world.until(
+            lambda: self.holder() is not None and self.fleet.formed(12 + proxies), 20000
+        )
+        assert self.world.until(
+            lambda: all(proxy.forwarder.counts.offset_ms for proxy in self.fleet.proxies.values()),
+            9000,
+        )
         self.world.later(0, self.requests)
 
     def requests(self):
@@ -99,8 +125,11 @@
                     counts[tenant] = counts.get(tenant, 0) + 1
 
     def holder(self):
-        holding = [n for n, registry in self.fleet.registries.items()
-                   if registry.context.alive and registry.duties.holds()]
+        holding = [
+            n
+            for n, registry in self.fleet.registries.items()
+            if registry.context.alive and registry.duties.holds()
+        ]
         return holding[-1] if holding else None
 
     def duty(self):
@@ -110,13 +139,18 @@
         return int((1.7e12 + self.world.env.now) // 5000)
 
     def near(self, counts, share=0.05, windows=None):
-        """Asserts that all windows that are long over were reported, no further than `share` from the truth."""
+        """Asserts that all windows that are long over were reported, no further than `share` from
+        the truth.
+        """
         done = [window for window in sorted(self.truth) if window < self.window() - 2]
         assert len(done) > 1
         for window in done if windows is None else windows:
             assert window in counts, f"window {window} is missing"
             for tenant, number in self.truth[window].items():
-                assert abs(counts[window].get(tenant, 0) - number) <= max(3, share * number), (window, counts[window])
+                assert abs(counts[window].get(tenant, 0) - number) <= max(3, share * number), (
+                    window,
+                    counts[window],
+                )
 
     def kill_machine(self, number):
         self.fleet.kill_core(number)
@@ -133,7 +167,9 @@
 
 
 def test_a_window_that_ended_before_everything_lost_power_is_reported():
-    """Its counts are in memories only until it is chosen; it used to be chosen three seconds after its end."""
+    """Its counts are in memories only until it is chosen; it used to be chosen three seconds after
+    its end.
+    """
     days = Days()
     days.world.run(10000)
     days.world.run(5000 - (1.7e12 + days.world.env.now) % 5000 + 2500)
@@ -175,7 +211,9 @@
     "before choosing": lambda days: days.duty().collecting,
     "while choosing": lambda days: days.duty().busy,
     "chosen, not sent": lambda days: days.duty().calling is not None and not days.duty().busy,
-    "sent, not answered": lambda days: days.platform.calls and days.platform.calls[-1]["atMs"] >= days.world.env.now - 2,
+    "sent, not answered": lambda days: (
+        days.platform.calls and days.platform.calls[-1]["atMs"] >= days.world.env.now - 2
+    ),
 }
 
 
@@ -200,8 +238,12 @@
     held = days.world.delay
     first = days.holder()
     ip = f"10.0.0.{first + 1}"
-    assert days.world.until(lambda: days.holder() is not None and days.duty().calling is not None, 15000, 1)
-    days.world.delay = lambda one, other: 9000.0 if (one, other) == (ip, PLATFORM[0]) else held(one, other)
+    assert days.world.until(
+        lambda: days.holder() is not None and days.duty().calling is not None, 15000, 1
+    )
+    days.world.delay = lambda one, other: (
+        9000.0 if (one, other) == (ip, PLATFORM[0]) else held(one, other)
+    )
     days.world.run(300)
     days.kill_machine(first)
     days.world.run(30000)
@@ -222,8 +264,11 @@
         days.world.run(1500)
     days.world.run(15000)
     days.platform.check()
-    owners = [registry.duties for registry in days.fleet.registries.values()
-              if registry.context.alive and registry.duties.holds()]
+    owners = [
+        registry.duties
+        for registry in days.fleet.registries.values()
+        if registry.context.alive and registry.duties.holds()
+    ]
     assert len(owners) == 1
 
 
@@ -244,7 +289,9 @@
     days.platform.open()
     days.world.run(16000)
     days.near(days.platform.check())
-    firsts = list(dict.fromkeys(json.loads(call["body"])["windowNo"] for call in days.platform.taken()))
+    firsts = list(
+        dict.fromkeys(json.loads(call["body"])["windowNo"] for call in days.platform.taken())
+    )
     assert firsts == sorted(firsts)
 
 
@@ -294,7 +341,9 @@
     cut_ms = days.world.env.now
     days.world.run(20000)
     names = {f"node-10.0.0.{number}" for number in few}
-    assert not [call for call in days.platform.calls if call["atMs"] > cut_ms and call["holder"] in names]
+    assert not [
+        call for call in days.platform.calls if call["atMs"] > cut_ms and call["holder"] in names
+    ]
     assert [call for call in days.platform.taken() if call["atMs"] > cut_ms]
     days.platform.check()
 
@@ -322,7 +371,9 @@
     counts = days.platform.check()
     days.near(counts, 0.12)
     for window, numbers in counts.items():
-        assert all(number <= days.truth[window].get(tenant, 0) for tenant, number in numbers.items())
+        assert all(
+            number <= days.truth[window].get(tenant, 0) for tenant, number in numbers.items()
+        )
 
 
 def test_change_of_feeder_within_a_window_counts_once():
@@ -338,7 +389,9 @@
 
 
 def test_core_machine_replaced_twice_running():
-    """A machine leaves for good, without a word, and an empty one comes at another address; then another does."""
+    """A machine leaves for good, without a word, and an empty one comes at another address; then
+    another does.
+    """
     days = Days(seed=13)
     days.world.run(9000)
     for gone, comer in ((days.holder(), 6), (1 if days.holder() != 1 else 2, 7)):
@@ -348,10 +401,18 @@
         leaver = f"10.0.0.{gone + 1}:"
 
         def done():
-            owners = [k for k in days.fleet.stores.values() if k.context.alive and k.ballot and k.chosen]
-            groups = [duty.chosen.group for duty in owners[:1] + ([days.duty()] if days.holder() is not None else [])]
-            return len(groups) == 2 and all(len(group) >= 5 and not any(leaver in address for address in group)
-                                            for group in groups)
+            owners = [
+                k for k in days.fleet.stores.values() if k.context.alive and k.ballot and k.chosen
+            ]
+            groups = [
+                duty.chosen.group
+                for duty in owners[:1] + ([days.duty()] if days.holder() is not None else [])
+            ]
+            return len(groups) == 2 and all(
+                len(group) >= 5 and not any(leaver in address for address in group)
+                for group in groups
+            )
+
         assert days.world.until(done, 40000)
     assert days.fleet.insist([3], "evacuate", "b1") is not None
     alive = [n for n, keeper in days.fleet.stores.items() if keeper.context.alive]
@@ -371,20 +432,30 @@
     days.platform.shut()
     days.world.run(22000)
     stand = days.fleet.registries[days.holder()].desk.stand()["duties"]["usage_report"]
-    assert stand["holder"] == f"node-10.0.0.{days.holder() + 1}" and stand["holding"] and stand["fence"] >= 1
+    assert (
+        stand["holder"] == f"node-10.0.0.{days.holder() + 1}"
+        and stand["holding"]
+        and stand["fence"] >= 1
+    )
     assert stand["overdue"] and stand["pending"] and stand["sent"]
     from stagevale.doctoring import stand_faults
+
     whole = days.fleet.registries[days.holder()].desk.stand()
     assert any("overdue" in finding.fault for finding in stand_faults("here", whole))
     days.platform.open()
     days.world.run(8000)
-    assert not any("overdue" in finding.fault for finding in
-                   stand_faults("here", days.fleet.registries[days.holder()].desk.stand()))
+    assert not any(
+        "overdue" in finding.fault
+        for finding in stand_faults("here", days.fleet.registries[days.holder()].desk.stand())
+    )
 
 
 def test_unused_duties_cost_nothing():
     fleet = Fleet(1, 2)
     fleet.world.run(5000)
-    assert all(registry.duties is None and registry.desk.ledger is None for registry in fleet.registries.values())
+    assert all(
+        registry.duties is None and registry.desk.ledger is None
+        for registry in fleet.registries.values()
+    )
     assert all(proxy.forwarder.counts is None for proxy in fleet.proxies.values())
     assert not [name for name in fleet.world.disks if name.startswith("duties")]
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,4 +1,7 @@
-"""Whole exchanges between clients, one proxy and endpoints, as approved transcripts or by what ran."""
+"""Whole exchanges between clients, one proxy and endpoints, as approved transcripts or by what
+ran.
+"""
+
 import pytest
 
 from approval import approve
@@ -9,7 +12,14 @@
 def answers_with(status, head=b"", text=b"", with_id=True):
     def rule(endpoint, fields, body):
         id = b"Attempt-Id: " + fields[b"attempt-id"] + b"\r\n" if with_id else b""
-        return (f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n".encode() + id + head + b"\r\n" + text)
+        return (
+            f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n".encode()
+            + id
+            + head
+            + b"\r\n"
+            + text
+        )
+
     return rule
 
 
@@ -20,8 +30,17 @@
     def rule(endpoint, fields, body):
         seen.append((endpoint.heads[-1], sorted(name.decode() for name in fields), body))
         return good(endpoint, fields, body)
+
     scene.endpoint(rule)
-    client = scene.client(request("/e/y?q=1", "77", "POST", b"crate", more=b"X-Own: kept\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"))
+    client = scene.client(
+        request(
+            "/e/y?q=1",
+            "77",
+            "POST",
+            b"crate",
+            more=b"X-Own: kept\r\nConnection: X-Hop\r\nX-Hop: 1\r\n",
+        )
+    )
     scene.world.run(500)
     approve("through", [repr(seen[0])] + client.got.decode().split("\r\n"))
 
@@ -33,9 +52,12 @@
     def rule(endpoint, fields, body):
         bodies.append(body)
         return good(endpoint, fields, body)
+
     scene.endpoint(rule)
-    client = scene.client(b"POST /e/y HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
-                          b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    client = scene.client(
+        b"POST /e/y HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
     scene.world.run(500)
     assert bodies == [b"abcde"] and client.statuses() == ["200"]
 
@@ -44,19 +66,27 @@
     scene = Scene()
 
     def rule(endpoint, fields, body):
-        return good(endpoint, fields, body, b"for " + fields[b"attempt-id"]), \
-            100 if fields[b"attempt-id"] == b"1" else 10
+        return good(endpoint, fields, body, b"for " + fields[b"attempt-id"]), 100 if fields[
+            b"attempt-id"
+        ] == b"1" else 10
+
     scene.endpoint(rule)
     client = scene.client(request(id="1") + request(id="2") + request(id="3"))
     scene.world.run(60)
     assert client.got == b""
     scene.world.run(400)
-    bodies = [part for part in client.got.replace(b"HTTP", b"\r\nHTTP").split(b"\r\n") if part.startswith(b"for ")]
+    bodies = [
+        part
+        for part in client.got.replace(b"HTTP", b"\r\nHTTP").split(b"\r\n")
+        if part.startswith(b"for ")
+    ]
     assert bodies == [b"for 1", b"for 2", b"for 3"]
 
 
 def test_effectful_request_waits_behind_a_pipelined_one():
-    """Behind an answer that closes the connection clients send again whatever the kind: it must not have run."""
+    """Behind an answer that closes the connection clients send again whatever the kind: it must not
+    have run.
+    """
     scene = Scene()
     first = scene.endpoint(lambda endpoint, fields, body: (good(endpoint, fields, body), 600))
     scene.client(request("/p/x", "1") + request("/e/x", "2", "POST", b"b"))
@@ -92,8 +122,13 @@
     scene = Scene()
     scene.world.run(9000)
     for _ in range(2):
-        scene.endpoint(lambda endpoint, fields, body: b"RESET" if not scene.resets.append(1) and len(scene.resets) == 1
-                       else good(endpoint, fields, body))
+        scene.endpoint(
+            lambda endpoint, fields, body: (
+                b"RESET"
+                if not scene.resets.append(1) and len(scene.resets) == 1
+                else good(endpoint, fields, body)
+            )
+        )
     scene.resets = []
     client = scene.client(request(id="9"))
     scene.world.run(1000)
@@ -110,6 +145,7 @@
             turned.append(endpoint.id)
             return answers_with(503, b"Not-Run: 1\r\n", with_id=False)(endpoint, fields, body)
         return good(endpoint, fields, body)
+
     endpoints = [scene.endpoint(rule), scene.endpoint(rule)]
     client = scene.client(request("/e/x", "9", "POST", b"b"))
     scene.world.run(1500)
@@ -147,6 +183,7 @@
             stray = good(endpoint, {b"attempt-id": b"1"}, b"", b"stray")
             return stray + good(endpoint, fields, body, b"mine")
         return good(endpoint, fields, body)
+
     scene.endpoint(rule)
     client = scene.client(request("/e/x", "1", "POST", b"b"))
     scene.world.run(200)
@@ -157,7 +194,9 @@
 
 def test_surplus_behind_an_answer_ends_the_endpoints_connection():
     scene = Scene()
-    endpoint = scene.endpoint(lambda endpoint, fields, body: good(endpoint, fields, body) + b"HTTP/1.1 200 OK\r\n\r\n")
+    endpoint = scene.endpoint(
+        lambda endpoint, fields, body: good(endpoint, fields, body) + b"HTTP/1.1 200 OK\r\n\r\n"
+    )
     client = scene.client(request(id="1"))
     scene.world.run(300)
     client.transport.write(request(id="2"))
@@ -169,7 +208,9 @@
     seal = b"Server-Seal: s\r\n"
     return {
         "no seal": answers_with(200, text=b"x"),
-        "other id": lambda e, f, b: b"HTTP/1.1 200 OK\r\nAttempt-Id: 0\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\nx",
+        "other id": lambda e, f, b: (
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: 0\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\nx"
+        ),
         "encoded": answers_with(200, seal + b"Content-Encoding: gzip\r\n", b"x"),
         "no length": lambda e, f, b: b"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\n" + seal + b"\r\nxx",
         "garbage": lambda e, f, b: b"\x00\x01garbage\r\n\r\n",
@@ -192,23 +233,36 @@
 def test_hostile_clients():
     lines = []
     for name, data in (
-            ("malformed head", b"NONSENSE\r\n\r\n"),
-            ("head over the limit", b"GET /p/x HTTP/1.1\r\nHost: h.example\r\nX: " + b"a" * 3000 + b"\r\n\r\n"),
-            ("body over the limit", request("/e/x", method="POST", body=b"b" * 6000)),
-            ("two lengths for one body", b"POST /e/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\nContent-Length: 4\r\n"
-             b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /p/smuggled HTTP/1.1\r\n\r\n"),
-            ("two content lengths", b"POST /e/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde"),
-            ("no host", b"GET /p/x HTTP/1.1\r\nAttempt-Id: 1\r\n\r\n"),
-            ("no id", b"GET /p/x HTTP/1.1\r\nHost: h.example\r\n\r\n"),
-            ("no route", request("/none")), ("other host", request(host="o.example")),
-            ("absolute target", request("http://h.example/p/x")),
-            ("bare newline in a field", b"GET /p/x HTTP/1.1\r\nHost: h.example\r\nA: b\nC: d\r\n\r\n"),
-            ("slow head", b"GET /p/x HTTP/1.1\r\nHost:")):
+        ("malformed head", b"NONSENSE\r\n\r\n"),
+        (
+            "head over the limit",
+            b"GET /p/x HTTP/1.1\r\nHost: h.example\r\nX: " + b"a" * 3000 + b"\r\n\r\n",
+        ),
+        ("body over the limit", request("/e/x", method="POST", body=b"b" * 6000)),
+        (
+            "two lengths for one body",
+            b"POST /e/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /p/smuggled HTTP/1.1\r\n\r\n",
+        ),
+        (
+            "two content lengths",
+            b"POST /e/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+        ),
+        ("no host", b"GET /p/x HTTP/1.1\r\nAttempt-Id: 1\r\n\r\n"),
+        ("no id", b"GET /p/x HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+        ("no route", request("/none")),
+        ("other host", request(host="o.example")),
+        ("absolute target", request("http://h.example/p/x")),
+        ("bare newline in a field", b"GET /p/x HTTP/1.1\r\nHost: h.example\r\nA: b\nC: d\r\n\r\n"),
+        ("slow head", b"GET /p/x HTTP/1.1\r\nHost:"),
+    ):
         scene = Scene()
         endpoint = scene.endpoint()
         client = scene.client(data)
         scene.world.run(3000)
-        lines.append(f"{name}: {' '.join(client.statuses())} closed={client.closed} arrived={len(endpoint.heads)}")
+        lines.append(
+            f"{name}: {' '.join(client.statuses())} closed={client.closed} arrived={len(endpoint.heads)}"
+        )
     approve("hostile-clients", lines)
 
 
@@ -289,6 +343,7 @@
             silent.append(endpoint.id)
             return good(endpoint, fields, body, b"late"), 900
         return good(endpoint, fields, body)
+
     endpoints = [scene.endpoint(rule), scene.endpoint(rule)]
     client = scene.client(request(id="9"))
     scene.world.run(800)
@@ -296,13 +351,18 @@
     scene.world.run(1500)
     assert client.statuses() == ["200"]
     assert [len(endpoint.heads) for endpoint in endpoints] == [1, 1]
-    assert all(target.outstanding == 0 and target.open == 1 for target in scene.proxy.targets.values())
+    assert all(
+        target.outstanding == 0 and target.open == 1 for target in scene.proxy.targets.values()
+    )
 
 
 def test_effectful_request_at_a_silent_endpoint_goes_nowhere_else():
     scene = Scene()
     scene.world.run(9000)
-    endpoints = [scene.endpoint(lambda e, f, b: (good(e, f, b), 1200)), scene.endpoint(lambda e, f, b: (good(e, f, b), 1200))]
+    endpoints = [
+        scene.endpoint(lambda e, f, b: (good(e, f, b), 1200)),
+        scene.endpoint(lambda e, f, b: (good(e, f, b), 1200)),
+    ]
     client = scene.client(request("/e/x", "9", "POST", b"b"))
     scene.world.run(1400)
     assert client.statuses() == ["200"] and sum(len(endpoint.heads) for endpoint in endpoints) == 1
@@ -334,17 +394,29 @@
 
 
 def test_an_endpoint_that_others_keep_busy_counts_as_busy_when_word_of_it_is_old():
-    """A proxy that heard of an endpoint every few seconds took it for idle in between, as did all the others."""
+    """A proxy that heard of an endpoint every few seconds took it for idle in between, as did all
+    the others.
+    """
     scene = Scene()
-    busy, calm = (scene.endpoint(lambda e, fields, body, load=load: good(e, fields, body, extra=b"Server-Load: " + load + b"\r\n"))
-                  for load in (b"3,1,3", b"1,0,3"))
+    busy, calm = (
+        scene.endpoint(
+            lambda e, fields, body, load=load: good(
+                e, fields, body, extra=b"Server-Load: " + load + b"\r\n"
+            )
+        )
+        for load in (b"3,1,3", b"1,0,3")
+    )
     for number in range(40):
         scene.client(request(id=str(number)))
         scene.world.run(100)
     scene.world.run(6000)
-    loads = [scene.proxy.targets[endpoint.id].load(scene.world.env.now) for endpoint in (busy, calm)]
+    loads = [
+        scene.proxy.targets[endpoint.id].load(scene.world.env.now) for endpoint in (busy, calm)
+    ]
     assert loads[0] > loads[1] > 0
-    assert scene.proxy.targets[busy.id].load(scene.world.env.now + 20000) == 0, "one that is not heard of is tried again"
+    assert scene.proxy.targets[busy.id].load(scene.world.env.now + 20000) == 0, (
+        "one that is not heard of is tried again"
+    )
     before = len(busy.heads), len(calm.heads)
     for number in range(12):
         scene.client(request(id=f"a{number}"))
