--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -1,4 +1,7 @@
-"""What grows with the fleet: deltas of the gossip state, and the tool that measures capacity, by counts and never by time."""
+"""What grows with the fleet: deltas of the gossip state, and the tool that measures capacity, by
+counts and never by time.
+"""
+
 import json
 import os
 import random
@@ -9,13 +12,27 @@
 from simworld import Fleet
 from stagevale import wire
 from stagevale.membership import clocks
-from stagevale.membership.state import (COMPLETE, DOWN, EXITING, JOINING, LEAVING, REMOVED, UP, GossipState, Member, Move,
-                                        from_message, merged)
+from stagevale.membership.state import (
+    COMPLETE,
+    DOWN,
+    EXITING,
+    JOINING,
+    LEAVING,
+    REMOVED,
+    UP,
+    GossipState,
+    Member,
+    Move,
+    from_message,
+    merged,
+)
 from stagevale.placement import part_of
 from stagevale.registrations import DRAINING, GONE, READY, Life, Lives, life_from_fields
 from test_registrations import beat_of
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "tools"))
+sys.path.insert(
+    0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "tools")
+)
 import capacity  # noqa: E402
 
 STATES = (JOINING, UP, LEAVING, EXITING, DOWN)
@@ -28,8 +45,13 @@
 
 
 def content(state):
-    return ({address: member.rank() for address, member in state.members.items()}, state.table_version,
-            sorted(state.table.items()), sorted((move.key(), move.status) for move in state.moves), state.mark)
+    return (
+        {address: member.rank() for address, member in state.members.items()},
+        state.table_version,
+        sorted(state.table.items()),
+        sorted((move.key(), move.status) for move in state.moves),
+        state.mark,
+    )
 
 
 def told(sender, base=None):
@@ -38,7 +60,9 @@
 
 
 def change(state, by, luck):
-    """One change as daemons make them: a member's state, the table with a move, a move that is complete."""
+    """One change as daemons make them: a member's state, the table with a move, a move that is
+    complete.
+    """
     kind = luck.randrange(4)
     members = dict(state.members)
     if kind < 2:
@@ -47,12 +71,18 @@
         return state.changed(by, members=members)
     if kind == 2:
         version = state.table_version + 1
-        return state.changed(by, table_version=version, table={f"part-{n}": (by, str(version)) for n in range(3)},
-                             moves=(Move("part-0", by, f"to-{version}", 0),))
-    return state.changed(by, moves=tuple(Move(m.part, m.giver, m.taker, COMPLETE) for m in state.moves))
-
-
-@given(st.integers(0, 10 ** 9), st.integers(2, 5), st.integers(5, 60))
+        return state.changed(
+            by,
+            table_version=version,
+            table={f"part-{n}": (by, str(version)) for n in range(3)},
+            moves=(Move("part-0", by, f"to-{version}", 0),),
+        )
+    return state.changed(
+        by, moves=tuple(Move(m.part, m.giver, m.taker, COMPLETE) for m in state.moves)
+    )
+
+
+@given(st.integers(0, 10**9), st.integers(2, 5), st.integers(5, 60))
 @settings(max_examples=200, deadline=None, database=None, derandomize=True)
 def test_what_differs_ends_in_the_same_state_as_the_whole(seed, count, steps):
     luck = random.Random(seed)
@@ -79,7 +109,9 @@
         state = merged(state, first(number))
     base = state.counted()
     address = "10.0.0.77:7200"
-    after = state.changed("10.0.0.1:7200", members={**state.members, address: state.members[address].at(UP)})
+    after = state.changed(
+        "10.0.0.1:7200", members={**state.members, address: state.members[address].at(UP)}
+    )
     clock, rows, version, table, moves, dots = after.message(base)
     assert len(rows) == 1 and len(clock) == 1 and not table and not moves and not dots
     assert merged(state, told(after, base)).mark == after.mark
@@ -87,10 +119,14 @@
 
 
 def test_removed_members_that_come_back_reach_a_peer_that_removed_them():
-    """Its counter stands in the peer's clock but compares as nothing, so it must not count as known."""
+    """Its counter stands in the peer's clock but compares as nothing, so it must not count as
+    known.
+    """
     state = merged(first(1), first(2))
-    gone = state.changed("10.0.0.1:7200", members={**state.members, "10.0.0.2:7200":
-                                                   state.members["10.0.0.2:7200"].at(REMOVED)})
+    gone = state.changed(
+        "10.0.0.1:7200",
+        members={**state.members, "10.0.0.2:7200": state.members["10.0.0.2:7200"].at(REMOVED)},
+    )
     comer = Member("10.0.0.2:7200", 9, 1, JOINING, "proxy", "a1", "a", "", ["10.0.0.2:7200", 1])
     back = merged(gone, GossipState({"10.0.0.2:7200": 1}, {"10.0.0.2:7200": comer}, 0, {}, ()))
     assert merged(gone, told(back, gone.counted())).members["10.0.0.2:7200"].uid == 9
@@ -120,18 +156,27 @@
     assert capacity.slope([{"x": 1, "y": 3.0}, {"x": 3, "y": 7.0}], "y", "x") == (1.0, 2.0)
     assert capacity.main(["nothing"]) == 2 and capacity.main(["choice", "x"]) == 2
     assert "want a part" in capsys.readouterr().err
-    assert capacity.main(["choice", "3"]) == 0 and json.loads(capsys.readouterr().out)["endpointsOfOneService"] == 3
+    assert (
+        capacity.main(["choice", "3"]) == 0
+        and json.loads(capsys.readouterr().out)["endpointsOfOneService"] == 3
+    )
 
 
 def test_repair_of_a_part_brings_what_differs_and_not_the_part():
-    """Whole parts went both ways at each difference of a moment: 5 of 6.4 MB over borders at the start of 96 daemons."""
+    """Whole parts went both ways at each difference of a moment: 5 of 6.4 MB over borders at the
+    start of 96 daemons.
+    """
+
     def life(number, state=READY, seq=1):
         return Life(f"i-{number}", "s", f"10.9.0.{number}:80", "a1", 3, state, seq, 0, 0, 0)
+
     one, other = Lives(), Lives()
     for number in range(400):
         one.merge(life(number), 0)
         if number != 7:
-            other.merge(life(number, DRAINING if number == 9 else READY, 2 if number == 9 else 1), 0)
+            other.merge(
+                life(number, DRAINING if number == 9 else READY, 2 if number == 9 else 1), 0
+            )
     other.merge(life(500), 0)
     part = part_of("s")
     rows, keys = other.differing(part, one.summary(part), 0)
@@ -142,17 +187,46 @@
         one.merge(life_from_fields(row, 0), 0)
     for key in keys:
         other.merge(one.by_key[key], 0)
-    assert one.mark(part) == other.mark(part) and other.differing(part, one.summary(part), 0) == ([], [])
-
-
-@given(st.lists(st.tuples(st.integers(0, 6), st.sampled_from((READY, DRAINING, GONE)), st.integers(1, 9), st.integers(0, 9)),
-                max_size=60), st.randoms(use_true_random=False))
+    assert one.mark(part) == other.mark(part) and other.differing(part, one.summary(part), 0) == (
+        [],
+        [],
+    )
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 6),
+            st.sampled_from((READY, DRAINING, GONE)),
+            st.integers(1, 9),
+            st.integers(0, 9),
+        ),
+        max_size=60,
+    ),
+    st.randoms(use_true_random=False),
+)
 @settings(max_examples=100, deadline=None, database=None, derandomize=True)
 def test_marks_that_follow_entry_by_entry_are_the_marks_of_what_is_known(news, luck):
-    """Equal knowledge has equal marks, whatever the order in which it came and what was forgotten since."""
+    """Equal knowledge has equal marks, whatever the order in which it came and what was forgotten
+    since.
+    """
     lives, again = Lives(), Lives()
     for step, (number, state, seq, unhealthy_at) in enumerate(news):
-        lives.merge(Life(f"i-{number}", f"s{number % 3}", "10.9.0.1:80", "a1", 3, state, seq, unhealthy_at, 0, 0), step)
+        lives.merge(
+            Life(
+                f"i-{number}",
+                f"s{number % 3}",
+                "10.9.0.1:80",
+                "a1",
+                3,
+                state,
+                seq,
+                unhealthy_at,
+                0,
+                0,
+            ),
+            step,
+        )
         if luck.random() < 0.1:
             lives.forget(step - 5, step - 5)
     for life in luck.sample(list(lives.by_id.values()), len(lives.by_id)):
@@ -167,19 +241,27 @@
         assert fleet.world.until(lambda: fleet.formed(12), 25000)
         for number in range(count):
             for seq in (1, 2):
-                fleet.registries[number % 6].desk.beat(f"i-{number}", beat_of(f"i-{number}", seq=seq), lambda *_: None)
+                fleet.registries[number % 6].desk.beat(
+                    f"i-{number}", beat_of(f"i-{number}", seq=seq), lambda *_: None
+                )
         fleet.world.run(4000)
         before = fleet.world.crossed
         for number in range(6):
-            fleet.registries[number].desk.beat(f"i-{number}", beat_of(f"i-{number}", "draining", 3), lambda *_: None)
+            fleet.registries[number].desk.beat(
+                f"i-{number}", beat_of(f"i-{number}", "draining", 3), lambda *_: None
+            )
         fleet.world.run(3000)
         crossed.append(fleet.world.crossed - before)
-        assert len({registry.desk.lives.mark_of_all() for registry in fleet.registries.values()}) == 1
+        assert (
+            len({registry.desk.lives.mark_of_all() for registry in fleet.registries.values()}) == 1
+        )
     assert crossed[1] < crossed[0] * 1.5
 
 
 def test_what_differs_is_told_inside_the_region_first():
-    """Restarts of proxies: a fourth to a third of all gossip crossed borders while core members told anyone that differed."""
+    """Restarts of proxies: a fourth to a third of all gossip crossed borders while core members
+    told anyone that differed.
+    """
     fleet = capacity.HollowFleet(24, 6, 6, 3)
     assert fleet.settle(90000)[0]
     before, sent = fleet.world.crossed, fleet.sent[1]
@@ -190,13 +272,18 @@
 
 
 def test_registries_tell_of_the_proxies_they_feed_together():
-    """Each proxy's two words, that it is fed and that it is ready, went to every registry by themselves."""
+    """Each proxy's two words, that it is fed and that it is ready, went to every registry by
+    themselves.
+    """
     fleet, heard = Fleet(7, 36), []
     for number in range(4):
         fleet.registries[0].desk.beat(f"i-{number}", beat_of(f"i-{number}"), lambda *_: None)
     board = fleet.registries[5].desk.board
     handler = board.handlers[wire.ATTACHED]
-    board.on(wire.ATTACHED, lambda peer, body, reply: (heard.append(len(body)), handler(peer, body, reply)))
+    board.on(
+        wire.ATTACHED,
+        lambda peer, body, reply: (heard.append(len(body)), handler(peer, body, reply)),
+    )
     assert fleet.world.until(lambda: fleet.formed(48), 40000)
     fleet.world.run(2000)
     told = {row[0] for rows in fleet.registries[5].desk.attached.values() for row in rows}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,15 +1,28 @@
 """Gossip, suspicion, the leader's acts and placement on a simulated network."""
+
 from approval import approve
 from simworld import Fleet
 from stagevale.membership import clocks
-from stagevale.membership.state import (COMPLETE, DOWN, JOINING, REMOVED, UP, GossipState, Member, Move, from_message,
-                                        merged)
+from stagevale.membership.state import (
+    COMPLETE,
+    DOWN,
+    JOINING,
+    REMOVED,
+    UP,
+    GossipState,
+    Member,
+    Move,
+    from_message,
+    merged,
+)
 from stagevale.membership.suspicion import THRESHOLD, Suspicion
 from stagevale.placement import PARTS, group_for, part_of, place
 
 
 def member(number, state=UP, region="a", uid=1, generation=0, program="registry"):
-    return Member(f"10.0.0.{number}:7200", uid, generation, state, program, region + "1", region, "")
+    return Member(
+        f"10.0.0.{number}:7200", uid, generation, state, program, region + "1", region, ""
+    )
 
 
 def test_vector_clocks_ignore_removed_members():
@@ -22,13 +35,25 @@
 
 
 def test_merge_is_the_same_from_both_sides_and_keeps_the_later_life():
-    one = GossipState({"a": 2}, {m.address: m for m in (member(1, DOWN), member(2))}, 3, {"p": ("x",)},
-                      (Move("p", "x", "y", 0),))
-    two = GossipState({"b": 1}, {m.address: m for m in (member(1, JOINING, uid=9, generation=1), member(3))}, 3,
-                      {"p": ("x",)}, (Move("p", "x", "y", COMPLETE),))
+    one = GossipState(
+        {"a": 2},
+        {m.address: m for m in (member(1, DOWN), member(2))},
+        3,
+        {"p": ("x",)},
+        (Move("p", "x", "y", 0),),
+    )
+    two = GossipState(
+        {"b": 1},
+        {m.address: m for m in (member(1, JOINING, uid=9, generation=1), member(3))},
+        3,
+        {"p": ("x",)},
+        (Move("p", "x", "y", COMPLETE),),
+    )
     here, there = merged(one, two), merged(two, one)
     assert here.message()[2:] == there.message()[2:]
-    assert {a: m.fields() for a, m in here.members.items()} == {a: m.fields() for a, m in there.members.items()}
+    assert {a: m.fields() for a, m in here.members.items()} == {
+        a: m.fields() for a, m in there.members.items()
+    }
     assert here.members["10.0.0.1:7200"].uid == 9 and here.moves[0].status == COMPLETE
     assert from_message(here.message()).mark == here.mark
 
@@ -107,7 +132,9 @@
     rest = [f"10.0.0.{n}" for n in (1, 2, 3, 4)]
     fleet.world.cut(["10.0.0.5", "10.0.0.6"], rest)
     alone = fleet.registries[4].membership
-    assert fleet.world.until(lambda: fleet.registries[0].membership.state.members["10.0.0.5:7200"].state == DOWN, 30000)
+    assert fleet.world.until(
+        lambda: fleet.registries[0].membership.state.members["10.0.0.5:7200"].state == DOWN, 30000
+    )
     assert all(m.state == UP for m in alone.state.members.values())
     fleet.world.join()
     assert fleet.world.until(lambda: fleet.formed(12), 40000)
@@ -121,15 +148,23 @@
         fleet.kill_core(number)
     fleet.world.kill(fleet.stores[5].context)
     fleet.start_store(5, False)
-    assert fleet.world.until(lambda: "10.0.0.5:7200" in fleet.stores[5].membership.state.members, 15000)
+    assert fleet.world.until(
+        lambda: "10.0.0.5:7200" in fleet.stores[5].membership.state.members, 15000
+    )
 
 
 def test_unreadable_gossip_is_dropped():
     fleet = Fleet(8)
     fleet.world.run(1000)
     membership = fleet.registries[0].membership
-    for data in (b"", b"\x00" * 40, b"garbage", bytes(range(256)), membership.overview()[:30],
-                 membership.overview()[5:]):
+    for data in (
+        b"",
+        b"\x00" * 40,
+        b"garbage",
+        bytes(range(256)),
+        membership.overview()[:30],
+        membership.overview()[5:],
+    ):
         membership.datagram_received(data, ("10.0.0.9", 1))
     assert fleet.world.until(lambda: fleet.formed(12), 20000)
 
@@ -153,7 +188,9 @@
 
 
 def test_states_that_differ_only_in_a_removed_member_settle():
-    """A removed member that comes back stood only in ignored counters: two sides sent their states for ever."""
+    """A removed member that comes back stood only in ignored counters: two sides sent their states
+    for ever.
+    """
     fleet = Fleet(9, proxies=2)
     assert fleet.world.until(lambda: fleet.formed(14), 20000)
     proxy = fleet.proxies[0]
@@ -178,9 +215,16 @@
     comer = member(99, JOINING, uid=5, generation=2)
     gone = member(99, REMOVED, uid=4, generation=1)
     mine = one.state
-    one.state = GossipState(mine.clock, {**mine.members, gone.address: gone}, mine.table_version, mine.table, mine.moves)
-    theirs = GossipState({**mine.clock, comer.address: 1}, {**mine.members, comer.address: comer}, mine.table_version,
-                         mine.table, mine.moves)
+    one.state = GossipState(
+        mine.clock, {**mine.members, gone.address: gone}, mine.table_version, mine.table, mine.moves
+    )
+    theirs = GossipState(
+        {**mine.clock, comer.address: 1},
+        {**mine.members, comer.address: comer},
+        mine.table_version,
+        mine.table,
+        mine.moves,
+    )
     sent = []
     one.transport = Counting(one.transport, sent)
     for _ in range(5):
@@ -190,26 +234,36 @@
 
 
 def test_a_quick_restart_is_taken_for_a_new_life_at_once():
-    """Its first clock could equal the one its former life had written: then half of all restarts spread to nobody,
-    and the new life was suspected for the old one's silence."""
+    """Its first clock could equal the one its former life had written: then half of all restarts
+    spread to nobody, and the new life was suspected for the old one's silence.
+    """
     for seed in (1, 2, 3, 4):
         fleet = Fleet(seed, 3)
         assert fleet.world.until(lambda: fleet.formed(15), 20000)
         fleet.world.run(4000)
         start_ms = fleet.world.env.now
-        for kill, start in ((fleet.registries[0].context, lambda: fleet.start_registry(0, False)),
-                            (fleet.proxies[1].context, lambda: fleet.start_proxy(1))):
+        for kill, start in (
+            (fleet.registries[0].context, lambda: fleet.start_registry(0, False)),
+            (fleet.proxies[1].context, lambda: fleet.start_proxy(1)),
+        ):
             fleet.world.kill(kill)
             fleet.world.run(800)
             start()
         fleet.world.run(6000)
-        late = [line for line in fleet.world.lines if float(line.split()[0]) >= start_ms
-                and ("10.0.0.1:7200 is suspected" in line or "10.0.1.2:7200 is suspected" in line)]
+        late = [
+            line
+            for line in fleet.world.lines
+            if float(line.split()[0]) >= start_ms
+            and ("10.0.0.1:7200 is suspected" in line or "10.0.1.2:7200 is suspected" in line)
+        ]
         assert len(late) <= 2, late
 
 
 def test_talk_per_daemon_stays_within_a_bound_as_the_fleet_triples():
-    """Bytes that cross a region's border, by gossip and by the registries, in a calm stretch of ten seconds."""
+    """Bytes that cross a region's border, by gossip and by the registries, in a calm stretch of ten
+    seconds.
+    """
+
     def talk(proxies):
         fleet = Fleet(2, proxies)
         assert fleet.world.until(lambda: fleet.formed(12 + proxies), 30000)
@@ -217,13 +271,15 @@
         before = fleet.world.crossed
         fleet.world.run(10000)
         return fleet.world.crossed - before
+
     few, many = talk(9), talk(27)
     assert many < few * 1.8, (few, many)
 
 
 def test_a_state_is_packed_once_and_cheaply_for_all_who_get_it():
-    """A day on which every proxy was restarted in turn was given up for processor time: states were packed and read anew
-    for each message, by a slow library."""
+    """A day on which every proxy was restarted in turn was given up for processor time: states were
+    packed and read anew for each message, by a slow library.
+    """
     fleet = Fleet(4, 3)
     assert fleet.world.until(lambda: fleet.formed(15), 20000)
     membership = fleet.registries[0].membership
@@ -234,7 +290,9 @@
 
 
 def test_what_an_observer_no_longer_says_does_not_go_about_for_ever():
-    """Suspicions of the first seconds stood in every overview for the rest of a fleet's life, and counted as witnesses."""
+    """Suspicions of the first seconds stood in every overview for the rest of a fleet's life, and
+    counted as witnesses.
+    """
     fleet = Fleet(11, 6)
     assert fleet.world.until(lambda: fleet.formed(18), 20000)
     members = [daemon.membership for daemon in fleet.daemons()]
@@ -242,6 +300,10 @@
     for membership in members[1:]:
         membership.observed[members[0].me.address] = (heartbeat, frozenset({first.me.address}))
     fleet.world.run(6000)
-    assert not any(membership.recent(observer, said) for membership in members[1:]
-                   for observer, (said, _) in membership.observed.items() if observer == members[0].me.address)
+    assert not any(
+        membership.recent(observer, said)
+        for membership in members[1:]
+        for observer, (said, _) in membership.observed.items()
+        if observer == members[0].me.address
+    )
     assert all(len(membership.overview()) < 200 for membership in members)
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -1,4 +1,7 @@
-"""Partners' offers: one table from any order of arrival, and narrowing that holds before it is acknowledged."""
+"""Partners' offers: one table from any order of arrival, and narrowing that holds before it is
+acknowledged.
+"""
+
 import json
 
 import pytest
@@ -11,21 +14,49 @@
 from stagevale.partners.checking import read_offer
 
 ZONES = {"a1": "a", "b1": "b", "c1": "c"}
-CONFIG = {"version": "r1", "parentVersion": 0,
-          "routes": [{"name": "own", "host": "h.example", "pathPrefix": "/own/", "variant": "pure", "timeoutMs": 2000,
-                      "service": "s", "maxAttempts": 2}],
-          "services": [{"name": name, "maxConns": 50, "warmupS": 0, "coldPerS": 99} for name in ("s", "t")],
-          "tenants": [{"name": "buyer", "apiKeys": ["k1"]}, {"name": "desk", "apiKeys": ["k2"]}]}
+CONFIG = {
+    "version": "r1",
+    "parentVersion": 0,
+    "routes": [
+        {
+            "name": "own",
+            "host": "h.example",
+            "pathPrefix": "/own/",
+            "variant": "pure",
+            "timeoutMs": 2000,
+            "service": "s",
+            "maxAttempts": 2,
+        }
+    ],
+    "services": [
+        {"name": name, "maxConns": 50, "warmupS": 0, "coldPerS": 99} for name in ("s", "t")
+    ],
+    "tenants": [{"name": "buyer", "apiKeys": ["k1"]}, {"name": "desk", "apiKeys": ["k2"]}],
+}
 
 
 def row(prefix, variant="effectful", service="s", host="h.example", **more):
-    return {"host": host, "pathPrefix": prefix, "variant": variant, "timeoutMs": 1500, "targetMs": 500,
-            "service": service, "maxAttempts": 2, **more}
+    return {
+        "host": host,
+        "pathPrefix": prefix,
+        "variant": variant,
+        "timeoutMs": 1500,
+        "targetMs": 500,
+        "service": service,
+        "maxAttempts": 2,
+        **more,
+    }
 
 
 def offer(version, routes, restrictions=(), parent=0):
-    return json.dumps({"version": f"r{version}", "parentVersion": f"r{parent}" if parent else 0, "routes": routes,
-                       "restrictions": list(restrictions)})
+    return json.dumps(
+        {
+            "version": f"r{version}",
+            "parentVersion": f"r{parent}" if parent else 0,
+            "routes": routes,
+            "restrictions": list(restrictions),
+        }
+    )
 
 
 def restriction(name, prefix, whom, **withholds):
@@ -33,18 +64,37 @@
 
 
 PREFIXES = st.sampled_from(["/own/", "/w/", "/w/x/", "/w/x/y/", "/z/"])
-ROUTES = st.lists(st.tuples(PREFIXES, st.sampled_from(["pure", "effectful"]), st.sampled_from(["s", "t", "gone"])),
-                  min_size=1, max_size=4, unique_by=lambda entry: entry[0])
-WHOM = st.sampled_from([{"everybody": True}, {"regions": ["a"]}, {"zones": ["b1"]}, {"tenants": ["desk"]},
-                        {"partners": ["p2"]}])
-RESTRICTIONS = st.lists(st.tuples(PREFIXES, WHOM, st.sampled_from([None, "pure", "effectful"])), max_size=3)
-OFFERS = st.dictionaries(st.sampled_from(["p1", "p2", "p3"]), st.tuples(ROUTES, RESTRICTIONS), min_size=1)
+ROUTES = st.lists(
+    st.tuples(
+        PREFIXES, st.sampled_from(["pure", "effectful"]), st.sampled_from(["s", "t", "gone"])
+    ),
+    min_size=1,
+    max_size=4,
+    unique_by=lambda entry: entry[0],
+)
+WHOM = st.sampled_from(
+    [
+        {"everybody": True},
+        {"regions": ["a"]},
+        {"zones": ["b1"]},
+        {"tenants": ["desk"]},
+        {"partners": ["p2"]},
+    ]
+)
+RESTRICTIONS = st.lists(
+    st.tuples(PREFIXES, WHOM, st.sampled_from([None, "pure", "effectful"])), max_size=3
+)
+OFFERS = st.dictionaries(
+    st.sampled_from(["p1", "p2", "p3"]), st.tuples(ROUTES, RESTRICTIONS), min_size=1
+)
 
 
 def written(routes, restrictions):
     rows = [row(prefix, variant, service) for prefix, variant, service in routes]
-    held = [restriction(f"r{number}", prefix, whom, **({"variant": variant} if variant else {}))
-            for number, (prefix, whom, variant) in enumerate(restrictions)]
+    held = [
+        restriction(f"r{number}", prefix, whom, **({"variant": variant} if variant else {}))
+        for number, (prefix, whom, variant) in enumerate(restrictions)
+    ]
     return offer(1, rows, held)
 
 
@@ -55,33 +105,58 @@
     shuffled = list(kept.items())
     luck.shuffle(shuffled)
     one, other = merged_table(CONFIG, kept), merged_table(CONFIG, dict(shuffled))
-    assert one.mark == other.mark and [r.fields() for r in one.rows] == [r.fields() for r in other.rows]
+    assert one.mark == other.mark and [r.fields() for r in one.rows] == [
+        r.fields() for r in other.rows
+    ]
     assert all(r.reason for r in one.rows)
 
 
-@given(OFFERS, PREFIXES, st.sampled_from(sorted(ZONES)), st.sampled_from(["", "buyer", "desk", "p2"]))
+@given(
+    OFFERS, PREFIXES, st.sampled_from(sorted(ZONES)), st.sampled_from(["", "buyer", "desk", "p2"])
+)
 @settings(max_examples=300, deadline=None, database=None, derandomize=True)
-def test_no_request_is_taken_on_a_withheld_path_nor_slips_to_a_wider_route(offers, prefix, zone, tenant):
+def test_no_request_is_taken_on_a_withheld_path_nor_slips_to_a_wider_route(
+    offers, prefix, zone, tenant
+):
     table = merged_table(CONFIG, {name: (1, written(*parts)) for name, parts in offers.items()})
     path = prefix + "request"
     won = table.find("h.example", path, zone, ZONES[zone], tenant)
     if won is None:
         return
     routes, restrictions = offers[won.partner]
-    longest = max((entry for entry in routes if path.startswith(entry[0])), key=lambda entry: len(entry[0]))
+    longest = max(
+        (entry for entry in routes if path.startswith(entry[0])), key=lambda entry: len(entry[0])
+    )
     assert won.prefix == longest[0] and longest[2] != "gone"
     for held, whom, variant in restrictions:
-        bound = (whom.get("everybody") or ZONES[zone] in whom.get("regions", ()) or zone in whom.get("zones", ())
-                 or tenant in whom.get("tenants", ()) or tenant in whom.get("partners", ()))
+        bound = (
+            whom.get("everybody")
+            or ZONES[zone] in whom.get("regions", ())
+            or zone in whom.get("zones", ())
+            or tenant in whom.get("tenants", ())
+            or tenant in whom.get("partners", ())
+        )
         assert not (bound and path.startswith(held) and variant in (None, longest[1]))
 
 
 def test_every_row_says_what_kept_or_dropped_it():
-    table = merged_table(CONFIG, {
-        "bee": (4, offer(4, [row("/own/"), row("/w/"), row("/w/x/"), row("/n/", service="none")],
-                         [restriction("closed", "/w/x/", {"everybody": True}),
-                          restriction("not-b", "/w/", {"regions": ["b"]}, variant="effectful")])),
-        "cat": (2, offer(2, [row("/w/"), row("/z/")]))})
+    table = merged_table(
+        CONFIG,
+        {
+            "bee": (
+                4,
+                offer(
+                    4,
+                    [row("/own/"), row("/w/"), row("/w/x/"), row("/n/", service="none")],
+                    [
+                        restriction("closed", "/w/x/", {"everybody": True}),
+                        restriction("not-b", "/w/", {"regions": ["b"]}, variant="effectful"),
+                    ],
+                ),
+            ),
+            "cat": (2, offer(2, [row("/w/"), row("/z/")])),
+        },
+    )
     reasons = {(r.partner, r.prefix): (r.kept, r.reason) for r in table.rows}
     assert reasons[("bee", "/own/")] == (False, "own route own has this host and prefix")
     assert reasons[("bee", "/n/")] == (False, "service none is not in the configuration")
@@ -93,31 +168,69 @@
     assert table.find("h.example", "/w/x/1", "a1", "a", "").partner == "cat"
 
 
-@pytest.mark.parametrize("text, field", [
-    ("{", "not JSON"), (offer(1, [row("/w/", service="none")]), "routes[0].service"),
-    (offer(1, [row("/w/"), row("/w/", service="t")]), "routes[1]"), (offer(1, [row("w/")]), "pathPrefix"),
-    (offer(1, [row("/w/")], [restriction("x", "/w/", {"regions": ["zz"]})]), "restrictions[0].from.regions"),
-    (offer(1, [row("/w/")], [restriction("x", "/w/", {"zones": ["zz"]})]), "restrictions[0].from.zones"),
-    (offer(1, [row("/w/")], [restriction("x", "/w/", {"tenants": ["zz"]})]), "restrictions[0].from.tenants"),
-    (offer(1, [row("/w/")], [restriction("x", "/w/", {"partners": ["zz"]})]), "restrictions[0].from.partners"),
-    (offer(1, [row("/w/")], [restriction("x", "/w/", {})]), "restrictions[0].from"),
-    (offer(1, [row("/w/")], [restriction("x", "/q/", {"everybody": True})]), "restrictions[0].withholds.pathPrefix"),
-    (offer(1, [row("/w/")], [restriction("x", "/w/", {"everybody": True}, host="o")]), "withholds.host"),
-    (offer(1, [row("/w/")], [restriction("x", "/w/", {"everybody": True})] * 2), "restrictions[1].name"),
-    (offer(1, [row("/w/")], [{"name": "x", "withholds": {"pat": "/w/"}, "from": {"everybody": True}}]), "withholds"),
-    (offer("x", [row("/w/")]), "version")])
+@pytest.mark.parametrize(
+    "text, field",
+    [
+        ("{", "not JSON"),
+        (offer(1, [row("/w/", service="none")]), "routes[0].service"),
+        (offer(1, [row("/w/"), row("/w/", service="t")]), "routes[1]"),
+        (offer(1, [row("w/")]), "pathPrefix"),
+        (
+            offer(1, [row("/w/")], [restriction("x", "/w/", {"regions": ["zz"]})]),
+            "restrictions[0].from.regions",
+        ),
+        (
+            offer(1, [row("/w/")], [restriction("x", "/w/", {"zones": ["zz"]})]),
+            "restrictions[0].from.zones",
+        ),
+        (
+            offer(1, [row("/w/")], [restriction("x", "/w/", {"tenants": ["zz"]})]),
+            "restrictions[0].from.tenants",
+        ),
+        (
+            offer(1, [row("/w/")], [restriction("x", "/w/", {"partners": ["zz"]})]),
+            "restrictions[0].from.partners",
+        ),
+        (offer(1, [row("/w/")], [restriction("x", "/w/", {})]), "restrictions[0].from"),
+        (
+            offer(1, [row("/w/")], [restriction("x", "/q/", {"everybody": True})]),
+            "restrictions[0].withholds.pathPrefix",
+        ),
+        (
+            offer(1, [row("/w/")], [restriction("x", "/w/", {"everybody": True}, host="o")]),
+            "withholds.host",
+        ),
+        (
+            offer(1, [row("/w/")], [restriction("x", "/w/", {"everybody": True})] * 2),
+            "restrictions[1].name",
+        ),
+        (
+            offer(
+                1,
+                [row("/w/")],
+                [{"name": "x", "withholds": {"pat": "/w/"}, "from": {"everybody": True}}],
+            ),
+            "withholds",
+        ),
+        (offer("x", [row("/w/")]), "version"),
+    ],
+)
 def test_bad_offers_name_the_field(text, field):
     checked = read_offer("bee", text, CONFIG, {}, ZONES)
     assert checked.is_error() and checked.error.status == 400 and field in checked.error.reason
 
 
 class Yard:
-    """A formed fleet with the configuration in force, endpoints in every region, and requests that flow at partner routes."""
+    """A formed fleet with the configuration in force, endpoints in every region, and requests that
+    flow at partner routes.
+    """
 
     def __init__(self, seed=1, proxies=3):
         self.fleet = Fleet(seed, proxies)
         self.world = self.fleet.world
-        assert self.world.until(lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 20000)
+        assert self.world.until(
+            lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 20000
+        )
         assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
         self.arrivals, self.number, self.clients, self.every = [], 0, [], 40
         for place, zone in enumerate(("a1", "b1", "c1")):
@@ -125,15 +238,21 @@
             life = endpoint.life()
             self.fleet.registries[place].desk.take_in(life, lambda status, body: None)
             self.beat(place, endpoint, 2)
-        assert self.world.until(lambda: all(len(p.targets) == 3 for p in self.fleet.proxies.values()), 5000)
+        assert self.world.until(
+            lambda: all(len(p.targets) == 3 for p in self.fleet.proxies.values()), 5000
+        )
 
     def beat(self, place, endpoint, seq):
         self.world.later(1500, self.beat, place, endpoint, seq + 1)
         if self.fleet.registries[place].context.alive:
-            self.fleet.registries[place].desk.take_in(endpoint.life(seq=seq), lambda status, body: None)
+            self.fleet.registries[place].desk.take_in(
+                endpoint.life(seq=seq), lambda status, body: None
+            )
 
     def run(self, endpoint, fields, body):
-        self.arrivals.append((self.world.env.now, endpoint.heads[-1].split()[1], fields[b"attempt-id"].decode()))
+        self.arrivals.append(
+            (self.world.env.now, endpoint.heads[-1].split()[1], fields[b"attempt-id"].decode())
+        )
         return good(endpoint, fields, body), 30
 
     def send(self, proxy, path, more=b"Authorization: Bearer k1\r\n"):
@@ -142,8 +261,10 @@
         client = client_at(self.world, ip)
         if client is None:
             return None
-        client.transport.write(request(path, f"j{self.number}", "POST", b"crate", more=more)
-                   + request(path, f"p{self.number}", "POST", b"crate", more=more))
+        client.transport.write(
+            request(path, f"j{self.number}", "POST", b"crate", more=more)
+            + request(path, f"p{self.number}", "POST", b"crate", more=more)
+        )
         self.clients.append(client)
         return client
 
@@ -154,10 +275,14 @@
             self.send(proxy, path)
 
     def offer(self, version, routes, restrictions=(), parent=0, at=(0, 1, 2, 3, 4, 5), name="bee"):
-        return self.fleet.insist(list(at), "offer", f"{name}\n" + offer(version, routes, restrictions, parent), 30000)
+        return self.fleet.insist(
+            list(at), "offer", f"{name}\n" + offer(version, routes, restrictions, parent), 30000
+        )
 
     def ran(self, since_ms, path="/w/x/"):
-        return [entry for entry in self.arrivals if entry[0] > since_ms and entry[1].startswith(path)]
+        return [
+            entry for entry in self.arrivals if entry[0] > since_ms and entry[1].startswith(path)
+        ]
 
 
 CLOSED = restriction("closed", "/w/x/", {"everybody": True})
@@ -238,10 +363,15 @@
     asked = (owner + 1) % 6
     payload = "bee\n" + offer(2, [row("/z/")], [], 1)
     got = []
-    yard.fleet.registries[asked].desk.order("offer", payload, lambda status, text: got.append((status, text)))
+    yard.fleet.registries[asked].desk.order(
+        "offer", payload, lambda status, text: got.append((status, text))
+    )
     others = [keeper for number, keeper in yard.fleet.stores.items() if number != owner]
-    assert yard.world.until(lambda: any(k.accepted and k.accepted.offers.get("bee", (0,))[0] == 2 for k in others),
-                            3000, 1)
+    assert yard.world.until(
+        lambda: any(k.accepted and k.accepted.offers.get("bee", (0,))[0] == 2 for k in others),
+        3000,
+        1,
+    )
     yard.fleet.kill_core(owner)
     alive = [number for number in range(6) if number != owner]
     assert yard.fleet.insist(alive, "offer", payload, 30000)[0] == 200
@@ -259,8 +389,11 @@
     assert yard.fleet.insist([1], "offer", "bee\n" + offer(3, [row("/z/")], [], 3))[0] == 400
     answers = []
     for number, path in ((1, "/one/"), (2, "/two/")):
-        yard.fleet.registries[number].desk.order("offer", "bee\n" + offer(6, [row(path)], [], 3),
-                                                 lambda status, text, path=path: answers.append((path, status)))
+        yard.fleet.registries[number].desk.order(
+            "offer",
+            "bee\n" + offer(6, [row(path)], [], 3),
+            lambda status, text, path=path: answers.append((path, status)),
+        )
     assert yard.world.until(lambda: len(answers) == 2, 9000)
     assert sorted(status for _, status in answers) == [200, 412]
     for number in range(6):
@@ -282,15 +415,19 @@
     assert len(marks) == 1
     shown = []
     yard.fleet.registries[0].desk.partner_table(lambda status, body: shown.append((status, body)))
-    yard.fleet.registries[1].desk.explain({"host": ["h.example"], "path": ["/w/1"], "zone": ["b1"]},
-                                          lambda status, body: shown.append((status, body)))
+    yard.fleet.registries[1].desk.explain(
+        {"host": ["h.example"], "path": ["/w/1"], "zone": ["b1"]},
+        lambda status, body: shown.append((status, body)),
+    )
     assert yard.world.until(lambda: len(shown) == 2, 3000)
     assert shown[0][0] == 200 and {r["mark"] for r in shown[0][1]["proxies"]} <= marks
     assert shown[1][1]["won"] == "partner ant, /w/" and len(shown[1][1]["weighed"]) == 2
     less = {**CONFIG, "version": "r2", "parentVersion": "r1", "services": CONFIG["services"][:1]}
     assert yard.fleet.insist([0], "replace", json.dumps(less))[0] == 200
     yard.world.run(2000)
-    rows = {(r.partner, r.prefix): r for r in yard.fleet.proxies[0].forwarder.snapshot.partners.rows}
+    rows = {
+        (r.partner, r.prefix): r for r in yard.fleet.proxies[0].forwarder.snapshot.partners.rows
+    }
     assert not rows[("bee", "/w/")].kept and "service t is not" in rows[("bee", "/w/")].reason
     assert rows[("bee", "/z/")].kept
 
@@ -316,7 +453,9 @@
 
 
 def test_an_offer_of_the_wrong_shape_names_the_place_and_is_not_called_unreadable():
-    """The check's own failure is a ValueError too, so that it was told as `not JSON` with the library's words around it."""
+    """The check's own failure is a ValueError too, so that it was told as `not JSON` with the
+    library's words around it.
+    """
     table = {"version": "r1", "routes": [], "restrictions": [{"name": "n", "host": "h"}]}
     wrong = read_offer("coop", json.dumps(table), {"services": []}, {}, {}).error
     assert wrong.status == 400 and "withholds: is required" in wrong.reason
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -1,4 +1,5 @@
 """Policies in Lua: they steer, and they can do no harm."""
+
 import sys
 
 import pytest
@@ -21,18 +22,35 @@
     out = scene.endpoint(zone="a2")
     scene.snapshot(scene.value.after(evacuated=("a2",)))
     scene.proxy.forwarder.chooser.policy = Policy(
-        'return function(request, e) return e.zone == "b1" and 1 or e.zone == "a2" and 0 or 1000 end', Quiet())
+        'return function(request, e) return e.zone == "b1" and 1 or e.zone == "a2" and 0 or 1000 end',
+        Quiet(),
+    )
     for number in range(4):
         scene.client(request(id=str(number)))
     scene.world.run(1000)
     assert [len(endpoint.heads) for endpoint in (near, far, out)] == [0, 4, 0]
 
 
-@pytest.mark.parametrize("body", ["while true do end", "local t = {} while true do t[#t + 1] = t end",
-                                  "error('no')", "return 'x'", "return -1", "return 0/0", "return nil", "return true",
-                                  "return os.time()", "return io.open('/etc/passwd')", "return ('x'):rep(1e9)",
-                                  "local s = 'x' while true do s = s .. s end", "return require('os')",
-                                  "return debug.getinfo(1)", "return load('return 1')()"])
+@pytest.mark.parametrize(
+    "body",
+    [
+        "while true do end",
+        "local t = {} while true do t[#t + 1] = t end",
+        "error('no')",
+        "return 'x'",
+        "return -1",
+        "return 0/0",
+        "return nil",
+        "return true",
+        "return os.time()",
+        "return io.open('/etc/passwd')",
+        "return ('x'):rep(1e9)",
+        "local s = 'x' while true do s = s .. s end",
+        "return require('os')",
+        "return debug.getinfo(1)",
+        "return load('return 1')()",
+    ],
+)
 def test_a_policy_that_fails_leaves_the_built_in_choice(body):
     scene = Scene()
     near = scene.endpoint()
@@ -48,8 +66,16 @@
     assert len(log.lines) == FAILURES_BORNE and "left out" in log.lines[-1]
 
 
-@pytest.mark.parametrize("source, word", [("syntax(", "unexpected"), ("return 5", "must return a function"), ("", "must"),
-                                          ("while true do end", "too many steps"), ("\x1bLua", "binary chunk")])
+@pytest.mark.parametrize(
+    "source, word",
+    [
+        ("syntax(", "unexpected"),
+        ("return 5", "must return a function"),
+        ("", "must"),
+        ("while true do end", "too many steps"),
+        ("\x1bLua", "binary chunk"),
+    ],
+)
 def test_a_policy_that_can_not_be_loaded_says_why(source, word, tmp_path):
     path = tmp_path / "policy.lua"
     path.write_text(source)
@@ -60,5 +86,6 @@
 
 def test_without_a_policy_lua_is_not_loaded():
     import subprocess
+
     code = "import sys, stagevale.programs.proxy; sys.exit(any(name.startswith('lupa') for name in sys.modules))"
     assert subprocess.run([sys.executable, "-c", code]).returncode == 0
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -1,4 +1,5 @@
 """Whole exchanges of the configuration register on a simulated network and disk."""
+
 import json
 
 from approval import approve
@@ -7,10 +8,24 @@
 
 
 def config(version, parent, host="h.example", service="s"):
-    return json.dumps({"version": f"r{version}", "parentVersion": f"r{parent}" if parent else 0,
-                       "routes": [{"name": "r", "host": host, "pathPrefix": "/a/", "variant": "pure",
-                                   "timeoutMs": 1000, "service": service, "maxAttempts": 2}],
-                       "services": [{"name": "s", "maxConns": 10, "warmupS": 3, "coldPerS": 4}]})
+    return json.dumps(
+        {
+            "version": f"r{version}",
+            "parentVersion": f"r{parent}" if parent else 0,
+            "routes": [
+                {
+                    "name": "r",
+                    "host": host,
+                    "pathPrefix": "/a/",
+                    "variant": "pure",
+                    "timeoutMs": 1000,
+                    "service": service,
+                    "maxAttempts": 2,
+                }
+            ],
+            "services": [{"name": "s", "maxConns": 10, "warmupS": 3, "coldPerS": 4}],
+        }
+    )
 
 
 def formed_fleet(seed=1, proxies=0):
@@ -31,10 +46,17 @@
     fleet = formed_fleet()
     lines = []
     for words, payload in (
-            ("first", config(2, 0)), ("same again", config(2, 0)), ("cut short", config(5, 2)[:40]),
-            ("unknown service", config(5, 2, service="x")), ("no slash", config(5, 2).replace('"/a/"', '"a/"')),
-            ("no timeout", config(5, 2).replace("1000", "0")), ("not above", config(2, 2, host="o.example")),
-            ("stale parent", config(7, 1)), ("next", config(7, 2)), ("an old one again", config(2, 0))):
+        ("first", config(2, 0)),
+        ("same again", config(2, 0)),
+        ("cut short", config(5, 2)[:40]),
+        ("unknown service", config(5, 2, service="x")),
+        ("no slash", config(5, 2).replace('"/a/"', '"a/"')),
+        ("no timeout", config(5, 2).replace("1000", "0")),
+        ("not above", config(2, 2, host="o.example")),
+        ("stale parent", config(7, 1)),
+        ("next", config(7, 2)),
+        ("an old one again", config(2, 0)),
+    ):
         lines.append(f"{words}: {fleet.insist([0], 'replace', payload)[0]}")
     lines.append(f"evacuate: {fleet.insist([3], 'evacuate', 'a1')}")
     status, text = fleet.insist([5], "read", "")
@@ -47,8 +69,11 @@
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
     answers = []
     for number, host in ((1, "one.example"), (4, "two.example")):
-        fleet.registries[number].desk.order("replace", config(2, 1, host=host),
-                                            lambda status, text, host=host: answers.append((host, status)))
+        fleet.registries[number].desk.order(
+            "replace",
+            config(2, 1, host=host),
+            lambda status, text, host=host: answers.append((host, status)),
+        )
     fleet.world.until(lambda: len(answers) == 2, 5000)
     assert sorted(status for _, status in answers) == [200, 412]
     winner = next(host for host, status in answers if status == 200)
@@ -63,7 +88,9 @@
     payload = config(2, 1)
     fleet.registries[asked].desk.order("replace", payload, lambda status, text: None)
     others = [keeper for number, keeper in fleet.stores.items() if number != owner]
-    assert fleet.world.until(lambda: any(k.accepted and k.accepted.version == 2 for k in others), 3000, 1)
+    assert fleet.world.until(
+        lambda: any(k.accepted and k.accepted.version == 2 for k in others), 3000, 1
+    )
     fleet.kill_core(owner)
     fleet.wipe(owner)
     alive = [number for number in range(6) if number != owner]
@@ -84,7 +111,9 @@
     fleet.world.run(100)
     assert all(fleet.stores[number].wiped for number in holders)
     assert json.loads(fleet.insist(range(6), "read", "")[1])["version"] == "r1"
-    assert fleet.world.until(lambda: not any(fleet.stores[number].wiped for number in holders), 10000)
+    assert fleet.world.until(
+        lambda: not any(fleet.stores[number].wiped for number in holders), 10000
+    )
     assert all(fleet.stores[number].accepted.version == 1 for number in holders)
 
 
@@ -98,8 +127,11 @@
     for number in range(6):
         fleet.start_core(number, False)
     fleet.world.run(8000)
-    assert fleet.order(0, "read", "", 1500) in (None, (503, "no owner in time"), (503, "no group known")) or \
-        fleet.order(0, "read", "", 1500)[0] == 503
+    assert (
+        fleet.order(0, "read", "", 1500)
+        in (None, (503, "no owner in time"), (503, "no group known"))
+        or fleet.order(0, "read", "", 1500)[0] == 503
+    )
     assert all(fleet.stores[number].wiped for number in range(4))
 
 
@@ -147,22 +179,32 @@
 def test_even_cut_acknowledges_nothing():
     fleet = formed_fleet()
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
-    group = [int(a.split(":")[0].split(".")[-1]) for a in fleet.stores[fleet.owners()[0] - 1].chosen.group]
+    group = [
+        int(a.split(":")[0].split(".")[-1])
+        for a in fleet.stores[fleet.owners()[0] - 1].chosen.group
+    ]
     few, many = group[:2], [n for n in range(1, 7) if n not in group[:2]]
     fleet.world.cut([f"10.0.0.{n}" for n in few], [f"10.0.0.{n}" for n in many])
     fleet.world.run(3000)
     for number in few:
         answer = fleet.order(number - 1, "replace", config(2, 1, host="few.example"), 2000)
         assert answer is None or answer[0] == 503
-    assert fleet.insist([n - 1 for n in many], "replace", config(2, 1, host="many.example"))[0] == 200
+    assert (
+        fleet.insist([n - 1 for n in many], "replace", config(2, 1, host="many.example"))[0] == 200
+    )
 
 
 def test_store_that_comes_back_leaves_the_duty_to_the_owner_at_work():
-    """It took the duty over at its first read: two rounds of ballots for nothing, seen in inc-20e7."""
+    """It took the duty over at its first read: two rounds of ballots for nothing, seen in
+    inc-20e7.
+    """
     fleet = formed_fleet()
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
     owner = fleet.owners()[0] - 1
-    group = [int(address.split(":")[0].split(".")[-1]) - 1 for address in fleet.stores[owner].chosen.group]
+    group = [
+        int(address.split(":")[0].split(".")[-1]) - 1
+        for address in fleet.stores[owner].chosen.group
+    ]
     ballot = fleet.stores[owner].ballot
     for number in group:
         if number != owner:
@@ -174,7 +216,9 @@
 
 
 def test_candidate_that_finds_a_newer_group_keeps_the_ballot_under_which_it_was_accepted():
-    """It noted the found value under its own, higher ballot: a later owner could have taken it for the newest."""
+    """It noted the found value under its own, higher ballot: a later owner could have taken it for
+    the newest.
+    """
     fleet = formed_fleet()
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
     owner = fleet.owners()[0] - 1
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -1,4 +1,5 @@
 """Beats, drains and leaves through whole fleets; what the proxies come to know."""
+
 import json
 
 import pytest
@@ -13,15 +14,20 @@
 
 
 def beat_of(id, state="ready", seq=1, cold=0, service="s", zone="a1"):
-    return {"address": "10.9.0.1:80", "details": {"service": service, "zone": zone, "slots": 3, "version": "v1"},
-            "status": {"state": state, "callSeq": seq, "coldLeftMs": cold}}
+    return {
+        "address": "10.9.0.1:80",
+        "details": {"service": service, "zone": zone, "slots": 3, "version": "v1"},
+        "status": {"state": state, "callSeq": seq, "coldLeftMs": cold},
+    }
 
 
 def formed(seed=11, proxies=6):
     fleet = Fleet(seed, proxies)
     assert fleet.world.until(lambda: len(fleet.owners()) == 1 and fleet.formed(12 + proxies), 25000)
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
-    assert fleet.world.until(lambda: all(p.forwarder.snapshot.hosts for p in fleet.proxies.values()), 5000)
+    assert fleet.world.until(
+        lambda: all(p.forwarder.snapshot.hosts for p in fleet.proxies.values()), 5000
+    )
     return fleet
 
 
@@ -39,7 +45,14 @@
 def test_a_beat_at_any_registry_reaches_every_proxy():
     fleet = formed()
     for number in range(6):
-        assert tell(fleet, number, lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer)) == 200
+        assert (
+            tell(
+                fleet,
+                number,
+                lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer),
+            )
+            == 200
+        )
     assert fleet.world.until(lambda: all(all(known(fleet, f"i-{n}")) for n in range(6)), 2500)
 
 
@@ -47,7 +60,10 @@
     fleet = formed()
     tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1"), answer))
     assert fleet.world.until(lambda: all(known(fleet, "i-1")), 2500)
-    assert tell(fleet, 4, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer)) == 200
+    assert (
+        tell(fleet, 4, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer))
+        == 200
+    )
     acked_ms = fleet.world.env.now
     assert fleet.world.until(lambda: all(t.state == DRAINING for t in known(fleet, "i-1")), 1250)
     tell(fleet, 2, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "ready", 1), answer))
@@ -64,8 +80,13 @@
     fleet.world.run(2000)
     fleet.world.cut(["10.0.0.5"], [f"10.0.0.{n}" for n in (1, 2, 3, 4, 6)])
     fleet.world.run(3500)
-    assert tell(fleet, 4, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer)) in (503, None)
-    assert tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer)) == 200
+    assert tell(
+        fleet, 4, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer)
+    ) in (503, None)
+    assert (
+        tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer))
+        == 200
+    )
     assert fleet.world.until(lambda: all(t.state == DRAINING for t in known(fleet, "i-1")), 2500)
 
 
@@ -74,7 +95,9 @@
     fed = [p for p in fleet.proxies.values() if p.feeder == "10.0.0.5:7200"]
     assert fed
     fleet.world.cut(["10.0.0.5"], [f"10.0.0.{n}" for n in (1, 2, 3, 4, 6)])
-    assert fleet.world.until(lambda: all(p.feeder not in (None, "10.0.0.5:7200") and p.subscribed for p in fed), 5000)
+    assert fleet.world.until(
+        lambda: all(p.feeder not in (None, "10.0.0.5:7200") and p.subscribed for p in fed), 5000
+    )
 
 
 def test_unheard_endpoint_becomes_unhealthy_and_healthy_again_with_its_next_beat():
@@ -90,14 +113,24 @@
         tell(fleet, 3, lambda desk, answer: desk.beat("i-2", beat_of("i-2", seq=seq), answer))
         fleet.world.run(1500)
         seq += 1
-    assert not any(t.healthy for t in known(fleet, "i-1")) and all(t.healthy for t in known(fleet, "i-2"))
-    tell(fleet, 5, lambda desk, answer: desk.beat("i-1", beat_of("i-1", seq=seq, cold=2500), answer))
-    assert fleet.world.until(lambda: all(t.healthy and t.cold_until_ms > fleet.world.env.now
-                                         for t in known(fleet, "i-1")), 2500)
+    assert not any(t.healthy for t in known(fleet, "i-1")) and all(
+        t.healthy for t in known(fleet, "i-2")
+    )
+    tell(
+        fleet, 5, lambda desk, answer: desk.beat("i-1", beat_of("i-1", seq=seq, cold=2500), answer)
+    )
+    assert fleet.world.until(
+        lambda: all(
+            t.healthy and t.cold_until_ms > fleet.world.env.now for t in known(fleet, "i-1")
+        ),
+        2500,
+    )
 
 
 def test_no_endpoint_that_beats_is_ever_declared_unheard():
-    """An owner from before the first placement went on judging parts whose beats it no longer got."""
+    """An owner from before the first placement went on judging parts whose beats it no longer
+    got.
+    """
     fleet = Fleet(12)
     for seq in range(1, 17):
         for number in range(12):
@@ -110,7 +143,11 @@
 def test_registry_that_restarts_empty_learns_and_empties_no_proxy():
     fleet = formed()
     for number in range(6):
-        tell(fleet, number, lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer))
+        tell(
+            fleet,
+            number,
+            lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer),
+        )
     fleet.world.run(2500)
     fleet.kill_core(1)
     fleet.start_core(1, False)
@@ -129,16 +166,29 @@
         fleet.start_core(number, False)
     assert all(proxy.targets and proxy.forwarder.snapshot.hosts for proxy in fleet.proxies.values())
     assert fleet.insist([0, 1], "replace", config(2, 1))[0] == 200
-    assert fleet.world.until(lambda: all(p.forwarder.snapshot.serial >= 2 and p.subscribed
-                                         for p in fleet.proxies.values()), 8000)
-    assert fleet.world.until(lambda: tell(fleet, 2, lambda desk, answer: desk.beat("i-1", beat_of("i-1", seq=9), answer))
-                             == 200, 8000)
+    assert fleet.world.until(
+        lambda: all(
+            p.forwarder.snapshot.serial >= 2 and p.subscribed for p in fleet.proxies.values()
+        ),
+        8000,
+    )
+    assert fleet.world.until(
+        lambda: (
+            tell(fleet, 2, lambda desk, answer: desk.beat("i-1", beat_of("i-1", seq=9), answer))
+            == 200
+        ),
+        8000,
+    )
 
 
 def test_after_a_loss_of_everything_proxies_serve_before_the_next_beat():
     fleet = formed()
     for number in range(6):
-        tell(fleet, number, lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer))
+        tell(
+            fleet,
+            number,
+            lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer),
+        )
     tell(fleet, 0, lambda desk, answer: desk.beat("i-5", beat_of("i-5", "draining", 2), answer))
     fleet.world.run(3000)
     for number in range(6):
@@ -148,7 +198,9 @@
     for number in range(6):
         fleet.start_core(number, False)
         fleet.start_proxy(number)
-    assert fleet.world.until(lambda: all(p.ready() and len(p.targets) == 6 for p in fleet.proxies.values()), 2500)
+    assert fleet.world.until(
+        lambda: all(p.ready() and len(p.targets) == 6 for p in fleet.proxies.values()), 2500
+    )
     assert all(t.state == DRAINING for t in known(fleet, "i-5"))
     fleet.world.run(9000)
     assert not any(t.healthy for t in known(fleet, "i-1"))
@@ -166,18 +218,30 @@
 def test_a_welcome_is_packed_once_for_a_burst_of_proxies_and_never_misses_news_between(monkeypatch):
     fleet = formed()
     for number in range(6):
-        tell(fleet, 0, lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer))
+        tell(
+            fleet, 0, lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer)
+        )
     fleet.world.run(500)
     desk, fed, packed = fleet.registries[0].desk, {}, []
     pack_rows = wire.pack_rows
-    monkeypatch.setattr(Switchboard, "cast", lambda board, peer, kind, body: kind == wire.FEED
-                        and fed.setdefault(peer, []).append({row[0]: row[5] for row in wire.unpack_rows(body[2])}))
+    monkeypatch.setattr(
+        Switchboard,
+        "cast",
+        lambda board, peer, kind, body: (
+            kind == wire.FEED
+            and fed.setdefault(peer, []).append(
+                {row[0]: row[5] for row in wire.unpack_rows(body[2])}
+            )
+        ),
+    )
     monkeypatch.setattr(wire, "pack_rows", lambda rows: packed.append(len(rows)) or pack_rows(rows))
     for number in range(5):
-        desk.on_subscribe(f"10.0.7.{number}:7200", ["10.0.7.1:9000", "a1", "a", True, 10 ** 6, []], None)
+        desk.on_subscribe(
+            f"10.0.7.{number}:7200", ["10.0.7.1:9000", "a1", "a", True, 10**6, []], None
+        )
     assert packed == [6] and all(len(rows[0]) == 6 for rows in fed.values())
     desk.beat("i-3", beat_of("i-3", "draining", 2), lambda status, body: None)
-    desk.on_subscribe("10.0.7.9:7200", ["10.0.7.9:9000", "a1", "a", True, 10 ** 6, []], None)
+    desk.on_subscribe("10.0.7.9:7200", ["10.0.7.9:9000", "a1", "a", True, 10**6, []], None)
     assert fed["10.0.7.9:7200"][-1]["i-3"] == DRAINING
 
 
@@ -187,12 +251,16 @@
     assert fleet.insist([0], "replace", config(2, 1))[0] == 200
     fleet.start_proxy(2)
     assert fleet.world.until(lambda: fleet.proxies[2].forwarder.snapshot.hosts, 5000)
-    assert fleet.proxies[2].forwarder.snapshot.serial == fleet.stores[fleet.owners()[0] - 1].chosen.serial
+    assert (
+        fleet.proxies[2].forwarder.snapshot.serial
+        == fleet.stores[fleet.owners()[0] - 1].chosen.serial
+    )
 
 
 def test_lives_merge_in_any_order_to_the_same():
     def at(state, seq, unhealthy_at=0, cold_seq=0):
         return Life("i", "s", "10.0.0.1:1", "a1", 3, state, seq, unhealthy_at, cold_seq, 0)
+
     news = [at(READY, 1), at(DRAINING, 3), at(READY, 2, 2), at(READY, 5, cold_seq=5), at(READY, 4)]
     ends = set()
     for turn in range(5):
@@ -206,12 +274,23 @@
     assert lives.by_id["i"].state == GONE
 
 
-@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"null", b'{"details":[],"status":{}}',
-                                  json.dumps(beat_of("i", state="odd")).encode(),
-                                  json.dumps({**beat_of("i"), "address": "nowhere"}).encode(),
-                                  json.dumps({**beat_of("i"), "address": "10.0.0.999:5"}).encode(),
-                                  json.dumps(beat_of("i", seq="7")).encode(), json.dumps(beat_of("i", seq=True)).encode(),
-                                  json.dumps(beat_of("i", service="")).encode(), b"[" * 100000])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b'{"details":[],"status":{}}',
+        json.dumps(beat_of("i", state="odd")).encode(),
+        json.dumps({**beat_of("i"), "address": "nowhere"}).encode(),
+        json.dumps({**beat_of("i"), "address": "10.0.0.999:5"}).encode(),
+        json.dumps(beat_of("i", seq="7")).encode(),
+        json.dumps(beat_of("i", seq=True)).encode(),
+        json.dumps(beat_of("i", service="")).encode(),
+        b"[" * 100000,
+    ],
+)
 def test_bad_beats_are_failures(body):
     with pytest.raises(Failure):
         read_beat(body)
@@ -219,13 +298,18 @@
 
 def test_bad_configurations_name_the_place():
     good = json.loads(config(3, 2))
-    for change, word in ((lambda c: c["routes"].append(dict(c["routes"][0])), "host and prefix"),
-                         (lambda c: c["routes"][0].update(timeoutMs=0), "timeoutMs"),
-                         (lambda c: c["routes"][0].update(pathPrefix="x/"), "pathPrefix"),
-                         (lambda c: c["routes"][0].update(service="none"), "none"),
-                         (lambda c: c["routes"][0].update(weighted=[{"service": "s", "weight": 0}], service="s"), "weight"),
-                         (lambda c: c["routes"][0].pop("service"), "no service"),
-                         (lambda c: c.update(version="x3"), "version")):
+    for change, word in (
+        (lambda c: c["routes"].append(dict(c["routes"][0])), "host and prefix"),
+        (lambda c: c["routes"][0].update(timeoutMs=0), "timeoutMs"),
+        (lambda c: c["routes"][0].update(pathPrefix="x/"), "pathPrefix"),
+        (lambda c: c["routes"][0].update(service="none"), "none"),
+        (
+            lambda c: c["routes"][0].update(weighted=[{"service": "s", "weight": 0}], service="s"),
+            "weight",
+        ),
+        (lambda c: c["routes"][0].pop("service"), "no service"),
+        (lambda c: c.update(version="x3"), "version"),
+    ):
         table = json.loads(json.dumps(good))
         change(table)
         outcome = read_config(json.dumps(table))
@@ -237,11 +321,22 @@
 def test_registry_that_ends_in_order_hands_its_parts_over():
     fleet = formed(13)
     for number in range(6):
-        tell(fleet, number, lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer))
+        tell(
+            fleet,
+            number,
+            lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer),
+        )
     fleet.world.run(6000)
     table = fleet.registries[0].membership.state.table
-    leaver = next(n for n in range(1, 6) if any(f"10.0.0.{n + 1}:7200" in group for part, group in table.items()
-                                                if part.startswith("part-")))
+    leaver = next(
+        n
+        for n in range(1, 6)
+        if any(
+            f"10.0.0.{n + 1}:7200" in group
+            for part, group in table.items()
+            if part.startswith("part-")
+        )
+    )
     address = f"10.0.0.{leaver + 1}:7200"
     daemon = fleet.registries[leaver]
     daemon.ending = daemon.context.stopping = True
@@ -249,10 +344,19 @@
     watcher = fleet.registries[0].membership
 
     def moved():
-        return not any(address in group for part, group in watcher.state.table.items() if part.startswith("part-"))
+        return not any(
+            address in group
+            for part, group in watcher.state.table.items()
+            if part.startswith("part-")
+        )
+
     assert fleet.world.until(moved, 40000)
     assert daemon.context.stopped
     for part, group in watcher.state.table.items():
         if part.startswith("part-"):
             assert len(group) == 3
-    assert all(len(registry.desk.lives.by_id) == 6 for n, registry in fleet.registries.items() if n != leaver)
+    assert all(
+        len(registry.desk.lives.by_id) == 6
+        for n, registry in fleet.registries.items()
+        if n != leaver
+    )
--- a/tests/test_rehearsing.py
+++ b/tests/test_rehearsing.py
@@ -1,4 +1,7 @@
-"""The rehearsal of a region's loss, and the loss itself on a simulated fleet: traffic must move the same way."""
+"""The rehearsal of a region's loss, and the loss itself on a simulated fleet: traffic must move the
+same way.
+"""
+
 import json
 
 import pytest
@@ -8,9 +11,17 @@
 from stagevale.rehearsing import Plan, RehearsalFailure, rehearse, report, shifted
 from stagevale.settings import Bounds
 
-ROUTES = [route("pure", "/p/"), route("effectful", "/e/"), route("pure", "/h/", homeRegions=["a", "b"])]
-CONFIG = {"version": "r1", "parentVersion": 0, "routes": ROUTES,
-          "services": [{"name": "s", "maxConns": 60, "warmupS": 3, "coldPerS": 6}]}
+ROUTES = [
+    route("pure", "/p/"),
+    route("effectful", "/e/"),
+    route("pure", "/h/", homeRegions=["a", "b"]),
+]
+CONFIG = {
+    "version": "r1",
+    "parentVersion": 0,
+    "routes": ROUTES,
+    "services": [{"name": "s", "maxConns": 60, "warmupS": 3, "coldPerS": 6}],
+}
 
 
 class Town:
@@ -19,20 +30,35 @@
     def __init__(self, seed):
         self.fleet = Fleet(seed, proxies=6)
         self.world = self.fleet.world
-        assert self.world.until(lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(18), 25000)
+        assert self.world.until(
+            lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(18), 25000
+        )
         assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
         self.ran, self.clients, self.sent, self.dead = [], [], 0, set()
-        self.endpoints = [Endpoint(self.world, number + 1, self.rule, ZONES[number % 6]) for number in range(12)]
+        self.endpoints = [
+            Endpoint(self.world, number + 1, self.rule, ZONES[number % 6]) for number in range(12)
+        ]
         self.seq = 0
         self.beat()
-        assert self.world.until(lambda: all(proxy.ready() and len(proxy.targets) == 12
-                                            for proxy in self.fleet.proxies.values()), 8000)
+        assert self.world.until(
+            lambda: all(
+                proxy.ready() and len(proxy.targets) == 12 for proxy in self.fleet.proxies.values()
+            ),
+            8000,
+        )
         self.world.run(3000)
         self.come()
 
     def rule(self, endpoint, fields, body):
         head = endpoint.heads[-1]
-        self.ran.append((self.world.env.now, endpoint.zone[0], head.split()[1][1], fields[b"attempt-id"].decode()))
+        self.ran.append(
+            (
+                self.world.env.now,
+                endpoint.zone[0],
+                head.split()[1][1],
+                fields[b"attempt-id"].decode(),
+            )
+        )
         return good(endpoint, fields, body), 60 + self.world.random.random() * 80
 
     def beat(self):
@@ -40,10 +66,16 @@
         for endpoint in self.endpoints:
             if endpoint.zone[0] in self.dead:
                 continue
-            number = next(n for n, registry in self.fleet.registries.items()
-                          if registry.context.alive and ZONES[n][0] not in self.dead)
-            beat = {"address": f"{endpoint.ip}:80", "details": {"service": "s", "zone": endpoint.zone, "slots": 3},
-                    "status": {"state": "ready", "callSeq": self.seq, "coldLeftMs": 0}}
+            number = next(
+                n
+                for n, registry in self.fleet.registries.items()
+                if registry.context.alive and ZONES[n][0] not in self.dead
+            )
+            beat = {
+                "address": f"{endpoint.ip}:80",
+                "details": {"service": "s", "zone": endpoint.zone, "slots": 3},
+                "status": {"state": "ready", "callSeq": self.seq, "coldLeftMs": 0},
+            }
             self.fleet.registries[number].desk.beat(endpoint.id, beat, lambda status, body: None)
         self.world.later(1500, self.beat)
 
@@ -53,20 +85,31 @@
         kind, method = ("p", "GET") if self.sent % 5 else ("h", "GET")
         if self.sent % 3 == 0:
             kind, method = "e", "POST"
-        desk = next(registry.desk for number, registry in self.fleet.registries.items()
-                    if registry.context.alive and ZONES[number][0] not in self.dead)
+        desk = next(
+            registry.desk
+            for number, registry in self.fleet.registries.items()
+            if registry.context.alive and ZONES[number][0] not in self.dead
+        )
         fronts = [tuple(front.split(":")) for front in desk.resolve(zone, zone[0])]
         if fronts:
             ip, port = fronts[self.sent % len(fronts)]
             found = self.world.listeners.get((ip, int(port)))
             if found:
-                self.open(ip, found, request(f"/{kind}/x", str(self.sent), method, b"b" if method == "POST" else b""))
+                self.open(
+                    ip,
+                    found,
+                    request(
+                        f"/{kind}/x", str(self.sent), method, b"b" if method == "POST" else b""
+                    ),
+                )
         self.world.later(20, self.come)
 
     def open(self, ip, found, data):
         client = Client(self.world)
         far = SimTransport(self.world, ip, "10.7.0.1", found[1](), 1000, found[0])
-        near = SimTransport(self.world, "10.7.0.1", ip, client, 1000, type("Sender", (), {"alive": True})())
+        near = SimTransport(
+            self.world, "10.7.0.1", ip, client, 1000, type("Sender", (), {"alive": True})()
+        )
         far.other, near.other = near, far
         self.world.transports.append(far)
         self.clients.append((self.world.env.now, data.split(b" ")[0], client))
@@ -113,26 +156,66 @@
         real, rehearsed = town.shares(path, lost_ms + 4000), table[name]["lost"]["regions"]
         assert set(rehearsed) <= {"b", "c"}
         for region in ("b", "c"):
-            assert abs(real.get(region, 0) - rehearsed.get(region, 0)) < 0.15, (name, real, rehearsed)
+            assert abs(real.get(region, 0) - rehearsed.get(region, 0)) < 0.15, (
+                name,
+                real,
+                rehearsed,
+            )
     assert town.shares("h", lost_ms + 4000) == {"b": 1.0}
     effectful = [id for _, _, what, id in town.ran if what == "e"]
     assert len(effectful) == len(set(effectful))
-    late = [client for at_ms, _, client in town.clients if lost_ms + 4000 < at_ms < town.world.env.now - 2000]
+    late = [
+        client
+        for at_ms, _, client in town.clients
+        if lost_ms + 4000 < at_ms < town.world.env.now - 2000
+    ]
     served = sum(client.statuses() == ["200"] for client in late)
     assert served > 0.97 * len(late), (served, len(late))
-    assert all(row["lost"]["mostRunsOfAJob"] == 1 for row in table.values() if row["kind"] == "at most once")
+    assert all(
+        row["lost"]["mostRunsOfAJob"] == 1
+        for row in table.values()
+        if row["kind"] == "at most once"
+    )
 
 
 def stand(**more):
-    return {"zones": {"a1": "a", "b1": "b"}, "evacuated": [],
-            "endpoints": [{"id": f"i-{n}", "service": "s", "address": f"10.9.0.{n}:80", "zone": zone, "slots": 3,
-                           "state": "ready", "healthy": True, "coldLeftMs": 0}
-                          for n, zone in enumerate(("a1", "b1"))],
-            "proxies": [{"address": f"10.0.1.{n}:7200", "front": f"10.0.1.{n}:9000", "zone": zone, "region": zone[0],
-                         "ready": True, "report": [4000, [["r-pure/p/", "s", True, 100, 500, {zone: 80}],
-                                                          ["r-effectful/e/", "s", False, 100, 500, {zone: 40}]],
-                                                   [], [["a", 60.0], ["b", 60.0]]]}
-                        for n, zone in enumerate(("a1", "b1"))], **more}
+    return {
+        "zones": {"a1": "a", "b1": "b"},
+        "evacuated": [],
+        "endpoints": [
+            {
+                "id": f"i-{n}",
+                "service": "s",
+                "address": f"10.9.0.{n}:80",
+                "zone": zone,
+                "slots": 3,
+                "state": "ready",
+                "healthy": True,
+                "coldLeftMs": 0,
+            }
+            for n, zone in enumerate(("a1", "b1"))
+        ],
+        "proxies": [
+            {
+                "address": f"10.0.1.{n}:7200",
+                "front": f"10.0.1.{n}:9000",
+                "zone": zone,
+                "region": zone[0],
+                "ready": True,
+                "report": [
+                    4000,
+                    [
+                        ["r-pure/p/", "s", True, 100, 500, {zone: 80}],
+                        ["r-effectful/e/", "s", False, 100, 500, {zone: 40}],
+                    ],
+                    [],
+                    [["a", 60.0], ["b", 60.0]],
+                ],
+            }
+            for n, zone in enumerate(("a1", "b1"))
+        ],
+        **more,
+    }
 
 
 def test_lost_fronts_clients_go_where_the_directory_would_send_them():
@@ -152,7 +235,10 @@
     plan = Plan([busy], CONFIG, Bounds({}))
     lost = report(plan, "a", 10, 1)
     row = next(row for row in lost["routes"] if row["route"] == "r-pure/p/")
-    assert row["lost"]["inAim"] < row["calm"]["inAim"] and row["lost"]["refused"] + row["lost"]["late"] > 0.2
+    assert (
+        row["lost"]["inAim"] < row["calm"]["inAim"]
+        and row["lost"]["refused"] + row["lost"]["late"] > 0.2
+    )
 
 
 def test_the_same_seed_gives_the_same_table():
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -1,4 +1,7 @@
-"""Rollouts: the share rises step by step, and every node falls back together; counted at the endpoints' sockets."""
+"""Rollouts: the share rises step by step, and every node falls back together; counted at the
+endpoints' sockets.
+"""
+
 import json
 
 import pytest
@@ -15,14 +18,43 @@
 from stagevale.rollouts.judging import Judge
 from stagevale.settings import Bounds
 
-CONFIG = {"version": "r1", "parentVersion": 0,
-          "routes": [{"name": "read", "host": "h.example", "pathPrefix": "/p/", "variant": "pure", "timeoutMs": 1500,
-                      "targetMs": 400, "service": "s", "maxAttempts": 3},
-                     {"name": "crate", "host": "h.example", "pathPrefix": "/e/", "variant": "effectful",
-                      "timeoutMs": 1500, "targetMs": 400, "service": "s", "maxAttempts": 2}],
-          "services": [{"name": "s", "maxConns": 50, "warmupS": 0, "coldPerS": 99}]}
-PLAN = {"version": "r1", "parentVersion": 0, "from": "v1", "to": "v2", "steps": [0.2, 0.6, 1.0], "failureShare": 0.1,
-        "leastRequests": 20, "watchS": 2.0}
+CONFIG = {
+    "version": "r1",
+    "parentVersion": 0,
+    "routes": [
+        {
+            "name": "read",
+            "host": "h.example",
+            "pathPrefix": "/p/",
+            "variant": "pure",
+            "timeoutMs": 1500,
+            "targetMs": 400,
+            "service": "s",
+            "maxAttempts": 3,
+        },
+        {
+            "name": "crate",
+            "host": "h.example",
+            "pathPrefix": "/e/",
+            "variant": "effectful",
+            "timeoutMs": 1500,
+            "targetMs": 400,
+            "service": "s",
+            "maxAttempts": 2,
+        },
+    ],
+    "services": [{"name": "s", "maxConns": 50, "warmupS": 0, "coldPerS": 99}],
+}
+PLAN = {
+    "version": "r1",
+    "parentVersion": 0,
+    "from": "v1",
+    "to": "v2",
+    "steps": [0.2, 0.6, 1.0],
+    "failureShare": 0.1,
+    "leastRequests": 20,
+    "watchS": 2.0,
+}
 
 
 def plan(**more):
@@ -30,20 +62,48 @@
 
 
 def rollout(**more):
-    return Rollout({"service": "s", "version": 1, "from": "v1", "to": "v2", "steps": [0.2, 0.6, 1.0],
-                    "failureShare": 0.1, "leastRequests": 20, "watchS": 2.0, "state": SHIFTING, "step": 0, **more})
+    return Rollout(
+        {
+            "service": "s",
+            "version": 1,
+            "from": "v1",
+            "to": "v2",
+            "steps": [0.2, 0.6, 1.0],
+            "failureShare": 0.1,
+            "leastRequests": 20,
+            "watchS": 2.0,
+            "state": SHIFTING,
+            "step": 0,
+            **more,
+        }
+    )
 
 
 def value(**more):
     return Value(1, 1, json.dumps(CONFIG), (), (), {}, **more)
 
 
-@pytest.mark.parametrize("text, field", [
-    ("{", "not JSON"), ("[]", ""), (plan(version="x"), "version"), (plan(to="v1"), "to"), (plan(to=7), "to"),
-    (plan(steps=[]), "steps"), (plan(steps=[0.5, 0.2, 1.0]), "steps"), (plan(steps=[0.2, 0.5]), "steps"),
-    (plan(steps=[0.2, 1.5]), "steps"), (plan(steps=[0, 1.0]), "steps"), (plan(failureShare=1.5), "failureShare"),
-    (plan(failureShare="a"), "failureShare"), (plan(leastRequests=0), "leastRequests"), (plan(watchS=0), "watchS"),
-    (plan(more=1), "more"), (json.dumps({"version": "r1"}), "from")])
+@pytest.mark.parametrize(
+    "text, field",
+    [
+        ("{", "not JSON"),
+        ("[]", ""),
+        (plan(version="x"), "version"),
+        (plan(to="v1"), "to"),
+        (plan(to=7), "to"),
+        (plan(steps=[]), "steps"),
+        (plan(steps=[0.5, 0.2, 1.0]), "steps"),
+        (plan(steps=[0.2, 0.5]), "steps"),
+        (plan(steps=[0.2, 1.5]), "steps"),
+        (plan(steps=[0, 1.0]), "steps"),
+        (plan(failureShare=1.5), "failureShare"),
+        (plan(failureShare="a"), "failureShare"),
+        (plan(leastRequests=0), "leastRequests"),
+        (plan(watchS=0), "watchS"),
+        (plan(more=1), "more"),
+        (json.dumps({"version": "r1"}), "from"),
+    ],
+)
 def test_bad_rollouts_name_the_field(text, field):
     outcome = decide(value(), START_ROLLOUT, "s\n" + text, {})
     assert outcome.status == 400 and outcome.value is None and field in outcome.text
@@ -57,9 +117,15 @@
     assert decide(held, START_ROLLOUT, "s\n" + plan(), {}).value is None
     assert decide(held, START_ROLLOUT, "s\n" + plan(), {}).status == 200
     assert decide(held, START_ROLLOUT, "none\n" + plan(), {}).status == 404
-    assert decide(held, START_ROLLOUT, "s\n" + plan(version="r3", parentVersion="r2"), {}).status == 412
+    assert (
+        decide(held, START_ROLLOUT, "s\n" + plan(version="r3", parentVersion="r2"), {}).status
+        == 412
+    )
     assert decide(held, START_ROLLOUT, "s\n" + plan(to="v3", parentVersion="r1"), {}).status == 400
-    assert decide(held, START_ROLLOUT, "s\n" + plan(version="r2", parentVersion="r1"), {}).status == 409
+    assert (
+        decide(held, START_ROLLOUT, "s\n" + plan(version="r2", parentVersion="r1"), {}).status
+        == 409
+    )
     assert decide(held, MOVE_ROLLOUT, "t\npause", {}).status == 404
     assert decide(held, MOVE_ROLLOUT, "s\nresume", {}).value is None
     paused = decide(held, MOVE_ROLLOUT, "s\npause", {}).value
@@ -70,7 +136,9 @@
         assert decide(fallen, MOVE_ROLLOUT, "s\n" + order, {}).status == 409
     assert decide(fallen, MOVE_ROLLOUT, "s\nrollback", {}).status == 200
     assert decide(fallen, START_ROLLOUT, "s\n" + plan(), {}).value is None
-    third = decide(fallen, START_ROLLOUT, "s\n" + plan(version="r2", parentVersion="r1", to="v3"), {}).value
+    third = decide(
+        fallen, START_ROLLOUT, "s\n" + plan(version="r2", parentVersion="r1", to="v3"), {}
+    ).value
     later = Rollout(json.loads(third.rollouts["s"]))
     assert not later.allows(0, "v2") and later.allows(0, "v1") and later.allows(NEW, "v3")
     ended = decide(fallen, MOVE_ROLLOUT, "s\nend", {}).value
@@ -88,28 +156,52 @@
 
 
 @pytest.mark.parametrize("state, new_tries", [(SHIFTING, 1), (DONE, 2)])
-def test_a_lookup_that_the_new_version_fails_is_tried_again_at_the_stable_one_and_a_crate_is_not(state, new_tries):
-    """While it is on trial: a second try at the same failing version lost answers of routes with two attempts."""
+def test_a_lookup_that_the_new_version_fails_is_tried_again_at_the_stable_one_and_a_crate_is_not(
+    state, new_tries
+):
+    """While it is on trial: a second try at the same failing version lost answers of routes with
+    two attempts.
+    """
+
     def fails(endpoint, fields, body):
         endpoint.ran.append(fields[b"attempt-id"].decode())
-        return b"HTTP/1.1 500 X\r\nAttempt-Id: " + fields[b"attempt-id"] + b"\r\nServer-Seal: z\r\nContent-Length: 0\r\n\r\n"
+        return (
+            b"HTTP/1.1 500 X\r\nAttempt-Id: "
+            + fields[b"attempt-id"]
+            + b"\r\nServer-Seal: z\r\nContent-Length: 0\r\n\r\n"
+        )
+
     scene = Scene(routes=CONFIG["routes"])
-    endpoints = [Endpoint(scene.world, number, rule, software=software)
-                 for number, (rule, software) in enumerate([(good, "v1"), (fails, "v2"), (fails, "v2")], 1)]
+    endpoints = [
+        Endpoint(scene.world, number, rule, software=software)
+        for number, (rule, software) in enumerate([(good, "v1"), (fails, "v2"), (fails, "v2")], 1)
+    ]
     for endpoint in endpoints:
         scene.tell(endpoint.life())
     scene.snapshot(scene.value.after(rollouts={"s": rollout(steps=[1.0], state=state).text()}))
     scene.proxy.forwarder.lease.until_ms = 1e9
     scene.world.run(9000)
-    clients = [scene.client(request(id="look")), scene.client(request("/e/x", id="crate", method="POST", body=b"c"))]
+    clients = [
+        scene.client(request(id="look")),
+        scene.client(request("/e/x", id="crate", method="POST", body=b"c")),
+    ]
     scene.world.run(1400)
     assert [client.statuses() for client in clients] == [["200"], ["500"]]
-    assert [endpoint.ran.count("crate") for endpoint in endpoints].count(1) == 1 and "crate" not in endpoints[0].ran
-    assert [sum(endpoint.ran.count("look") for endpoint in some) for some in (endpoints[:1], endpoints[1:])] == [1, new_tries]
+    assert [endpoint.ran.count("crate") for endpoint in endpoints].count(
+        1
+    ) == 1 and "crate" not in endpoints[0].ran
+    assert [
+        sum(endpoint.ran.count("look") for endpoint in some)
+        for some in (endpoints[:1], endpoints[1:])
+    ] == [1, new_tries]
 
 
 def told(address, zone, old, new, step=0, life=None):
-    return [address, life or address, [["s", 1, step, zone, 0, *old], ["s", 1, step, zone, 1, *new]]]
+    return [
+        address,
+        life or address,
+        [["s", 1, step, zone, 0, *old], ["s", 1, step, zone, 1, *new]],
+    ]
 
 
 def judge_of(*rows, machines=0):
@@ -137,17 +229,28 @@
 def test_neither_few_requests_nor_one_zone_nor_a_bad_old_version_has_it_fall_back():
     few = judge_of(told("p1", "a1", [9, 0, 0], [9, 9, 0]))
     assert few.judge(rollout(), ["p1"], 1.0) is None
-    zone = judge_of(told("p1", "a1", [50, 0, 0], [50, 40, 0]), told("p2", "b1", [50, 0, 0], [50, 0, 0]),
-                    told("p3", "c1", [50, 0, 0], [50, 1, 0]))
+    zone = judge_of(
+        told("p1", "a1", [50, 0, 0], [50, 40, 0]),
+        told("p2", "b1", [50, 0, 0], [50, 0, 0]),
+        told("p3", "c1", [50, 0, 0], [50, 1, 0]),
+    )
     assert zone.judge(rollout(), ["p1"], 1.0) is None
-    alike = judge_of(told("p1", "a1", [50, 20, 5], [50, 20, 6]), told("p2", "b1", [50, 20, 5], [50, 20, 6]))
+    alike = judge_of(
+        told("p1", "a1", [50, 20, 5], [50, 20, 6]), told("p2", "b1", [50, 20, 5], [50, 20, 6])
+    )
     assert alike.judge(rollout(), ["p1"], 1.0) is None
     for failed, late in ((15, 0), (0, 15), (8, 8)):
-        worse = judge_of(told("p1", "a1", [50, 0, 0], [50, failed, late]), told("p2", "b1", [50, 0, 0], [50, failed, late]))
+        worse = judge_of(
+            told("p1", "a1", [50, 0, 0], [50, failed, late]),
+            told("p2", "b1", [50, 0, 0], [50, failed, late]),
+        )
         fallen = worse.judge(rollout(), ["p1"], 1.0)
         assert fallen.state == FALLEN and "step 1" in fallen.reason
-    last = judge_of(told("p1", "a1", [50, 0, 0], [50, 0, 0]), told("p1", "a1", [0, 0, 0], [50, 20, 0], 2, "q"),
-                    told("p2", "b1", [0, 0, 0], [50, 20, 0], 2))
+    last = judge_of(
+        told("p1", "a1", [50, 0, 0], [50, 0, 0]),
+        told("p1", "a1", [0, 0, 0], [50, 20, 0], 2, "q"),
+        told("p2", "b1", [0, 0, 0], [50, 20, 0], 2),
+    )
     assert last.judge(rollout(step=2), ["p1"], 1.0).state == FALLEN
 
 
@@ -157,39 +260,58 @@
         outcomes.count(rollout(), "v2", "a1", failed, True)
     outcomes.count(rollout(), "v1", "a1", False, False)
     outcomes.count(rollout(), "v0", "a1", True, False)
-    assert sorted(outcomes.rows({"s": rollout()})) == [["s", 1, 0, "a1", 0, 1, 0, 0], ["s", 1, 0, "a1", 1, 3, 1, 2]]
+    assert sorted(outcomes.rows({"s": rollout()})) == [
+        ["s", 1, 0, "a1", 0, 1, 0, 0],
+        ["s", 1, 0, "a1", 1, 3, 1, 2],
+    ]
     assert outcomes.rows({"s": rollout(version=2)}) == [] and outcomes.sums == {}
 
 
 class Yard:
-    """A formed fleet, three endpoints of each version, crates and look-ups flowing at every proxy."""
+    """A formed fleet, three endpoints of each version, crates and look-ups flowing at every
+    proxy.
+    """
 
     def __init__(self, seed=1, proxies=3, mode="good"):
         self.fleet = Fleet(seed, proxies)
         self.world = self.fleet.world
-        assert self.world.until(lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 20000)
+        assert self.world.until(
+            lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 20000
+        )
         assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
         self.arrivals, self.number, self.sent, self.mode, self.flowing = [], 0, [], mode, True
         for place, zone in enumerate(("a1", "b1", "c1") * 2):
-            endpoint = Endpoint(self.world, place + 1, self.run, zone, "s", "v1" if place < 3 else "v2")
+            endpoint = Endpoint(
+                self.world, place + 1, self.run, zone, "s", "v1" if place < 3 else "v2"
+            )
             self.beat(place, endpoint, 1)
-        assert self.world.until(lambda: all(len(p.targets) == 6 for p in self.fleet.proxies.values()), 6000)
+        assert self.world.until(
+            lambda: all(len(p.targets) == 6 for p in self.fleet.proxies.values()), 6000
+        )
 
     def beat(self, place, endpoint, seq):
         self.world.later(1500, self.beat, place, endpoint, seq + 1)
         alive = [registry for registry in self.fleet.registries.values() if registry.context.alive]
         if alive:
-            alive[place % len(alive)].desk.take_in(endpoint.life(seq=seq), lambda status, body: None)
+            alive[place % len(alive)].desk.take_in(
+                endpoint.life(seq=seq), lambda status, body: None
+            )
 
     def run(self, endpoint, fields, body):
         id = fields[b"attempt-id"].decode()
         self.arrivals.append((self.world.env.now, endpoint.software, id))
         if endpoint.software == "v2" and self.mode == "failing" and int(id[1:]) % 2:
             endpoint.ran.append(id)
-            return (b"HTTP/1.1 500 Bad\r\nAttempt-Id: " + fields[b"attempt-id"] + b"\r\nContent-Length: 0\r\n\r\n"), 20
+            return (
+                b"HTTP/1.1 500 Bad\r\nAttempt-Id: "
+                + fields[b"attempt-id"]
+                + b"\r\nContent-Length: 0\r\n\r\n"
+            ), 20
         if endpoint.software == "v2" and self.mode == "crashing" and int(id[1:]) % 2:
             return b"RESET"
-        return good(endpoint, fields, body), 600 if endpoint.software == "v2" and self.mode == "slow" else 25
+        return good(
+            endpoint, fields, body
+        ), 600 if endpoint.software == "v2" and self.mode == "slow" else 25
 
     def flow(self, every=50):
         if self.flowing:
@@ -208,8 +330,11 @@
         return json.loads(reply[1])["rollouts"]
 
     def state(self):
-        rows = [json.loads(keeper.accepted.rollouts["s"]) for keeper in self.fleet.stores.values()
-                if keeper.context.alive and keeper.accepted and "s" in keeper.accepted.rollouts]
+        rows = [
+            json.loads(keeper.accepted.rollouts["s"])
+            for keeper in self.fleet.stores.values()
+            if keeper.context.alive and keeper.accepted and "s" in keeper.accepted.rollouts
+        ]
         return max(rows, key=lambda row: row["state"] == FALLEN)["state"] if rows else None
 
     def start(self, **more):
@@ -219,7 +344,9 @@
         return [entry for entry in self.arrivals if entry[0] > since_ms and entry[1] == "v2"]
 
     def check(self, struck=()):
-        """No crate runs twice, each that was acknowledged ran once, every request has its answer."""
+        """No crate runs twice, each that was acknowledged ran once, every request has its
+        answer.
+        """
         runs = {}
         for _, _, id in self.arrivals:
             runs[id] = runs.get(id, 0) + 1
@@ -288,9 +415,19 @@
     return (1,)
 
 
-@pytest.mark.parametrize("mode, strike", [
-    ("failing", nothing), ("slow", nothing), ("crashing", nothing), ("failing", cut_proxy), ("failing", freeze_proxy),
-    ("crashing", kill_proxy), ("failing", kill_owner), ("crashing", kill_zone)])
+@pytest.mark.parametrize(
+    "mode, strike",
+    [
+        ("failing", nothing),
+        ("slow", nothing),
+        ("crashing", nothing),
+        ("failing", cut_proxy),
+        ("failing", freeze_proxy),
+        ("crashing", kill_proxy),
+        ("failing", kill_owner),
+        ("crashing", kill_zone),
+    ],
+)
 def test_a_bad_version_falls_back_on_every_node_and_crates_run_once(mode, strike):
     yard = Yard(seed=3, mode=mode)
     assert yard.start(steps=[0.5, 1.0], watchS=30.0)[0] == 200
@@ -319,7 +456,9 @@
 
 @pytest.mark.parametrize("leased", [True, False])
 def test_an_ordered_rollback_is_acknowledged_once_no_node_is_left(leased, monkeypatch):
-    """A proxy that is cut off from the core keeps its snapshot; without the lease it goes on with the new version."""
+    """A proxy that is cut off from the core keeps its snapshot; without the lease it goes on with
+    the new version.
+    """
     if not leased:
         monkeypatch.setattr(Lease, "holds", lambda self, now_ms: True)
     yard = Yard(seed=4)
@@ -346,15 +485,28 @@
 
     def call(method, *segments, body=b""):
         got = []
-        dispatch(method, ("v1", "rollouts", *segments), "", body, lambda status, answer: got.append((status, answer)))
+        dispatch(
+            method,
+            ("v1", "rollouts", *segments),
+            "",
+            body,
+            lambda status, answer: got.append((status, answer)),
+        )
         yard.world.until(lambda: got, 20000, 10)
         return got[0][0], json.loads(got[0][1]) if isinstance(got[0][1], str) else got[0][1]
+
     assert call("GET")[1] == {"rollouts": []}
     assert call("GET", "s")[0] == 404
     status, answer = call("PUT", "s", body=plan(to="v7").encode())
     assert status == 400 and "v1, v2" in answer["error"]
-    assert call("PUT", "s", body=b"\xff")[0] == 400 and call("PUT", "s", body=b" " * 70000)[0] == 413
-    assert call("POST", "s")[0] == 405 and call("POST", "s", "jump")[0] == 404 and call("GET", "s", "pause")[0] == 405
+    assert (
+        call("PUT", "s", body=b"\xff")[0] == 400 and call("PUT", "s", body=b" " * 70000)[0] == 413
+    )
+    assert (
+        call("POST", "s")[0] == 405
+        and call("POST", "s", "jump")[0] == 404
+        and call("GET", "s", "pause")[0] == 405
+    )
     assert call("PUT", "s", body=plan(watchS=60.0).encode())[0] == 200
     assert yard.world.until(lambda: registry.desk.software_of("s").get("v1", (0, 0))[0] == 3, 8000)
     status, row = call("GET", "s")
@@ -372,7 +524,10 @@
 def test_unused_rollouts_cost_nothing():
     yard = Yard(seed=6)
     yard.world.run(3000)
-    assert all(proxy.forwarder.lease.ask_number == 0 and proxy.forwarder.outcomes is None for proxy in yard.fleet.proxies.values())
+    assert all(
+        proxy.forwarder.lease.ask_number == 0 and proxy.forwarder.outcomes is None
+        for proxy in yard.fleet.proxies.values()
+    )
     assert all(keeper.judge is None for keeper in yard.fleet.stores.values())
 
 
@@ -381,7 +536,9 @@
     yard = Yard(seed=7)
     owner = yard.fleet.stores[yard.fleet.owners()[0] - 1]
     replies, asked, confirm = [], [], Keeper.confirm
-    monkeypatch.setattr(Keeper, "confirm", lambda self, done: (asked.append(self), confirm(self, done)))
+    monkeypatch.setattr(
+        Keeper, "confirm", lambda self, done: (asked.append(self), confirm(self, done))
+    )
     for _ in range(18):
         owner.take("serial", "", True, replies.append)
     assert yard.world.until(lambda: len(replies) == 18, 5000, 10)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -1,4 +1,7 @@
-"""Steering: the share follows the region that answers fastest, without a herd; counted at the endpoints' sockets."""
+"""Steering: the share follows the region that answers fastest, without a herd; counted at the
+endpoints' sockets.
+"""
+
 import json
 import random
 
@@ -113,7 +116,13 @@
 
 
 def test_homes_bind_before_the_fastest_region():
-    yard = Yard(seed=5, routes=[route("pure", "/p/", homeRegions=["a"]), route("effectful", "/e/", homeRegions=["a"])])
+    yard = Yard(
+        seed=5,
+        routes=[
+            route("pure", "/p/", homeRegions=["a"]),
+            route("effectful", "/e/", homeRegions=["a"]),
+        ],
+    )
     yard.delay["a"] = 300
     yard.spans(10000)
     assert yard.share(0) == 0.0
@@ -168,8 +177,12 @@
     fleet = Fleet(1, 2, "\n" + ON)
     world = fleet.world
     assert world.until(lambda: len(fleet.owners()) == 1 and fleet.formed(14), 20000)
-    config = {"version": "r1", "parentVersion": 0, "routes": [route("pure", "/p/")],
-              "services": [{"name": "s", "maxConns": 50, "warmupS": 0, "coldPerS": 99}]}
+    config = {
+        "version": "r1",
+        "parentVersion": 0,
+        "routes": [route("pure", "/p/")],
+        "services": [{"name": "s", "maxConns": 50, "warmupS": 0, "coldPerS": 99}],
+    }
     assert fleet.insist([0], "replace", json.dumps(config))[0] == 200
     endpoint = Endpoint(world, 1, lambda e, fields, body: good(e, fields, body))
     fleet.registries[0].desk.take_in(endpoint.life(), lambda status, body: None)
@@ -181,7 +194,9 @@
     stands = [registry.desk.stand() for registry in fleet.registries.values()]
     rows = [row for stand in stands for proxy in stand["proxies"] for row in proxy["delays"]]
     assert rows and rows[0]["service"] == "s" and rows[0]["count"] > 20
-    monkeypatch.setattr("stagevale.doctoring.ask", lambda address, path, *rest: (200, stands[int(address[-1])]))
+    monkeypatch.setattr(
+        "stagevale.doctoring.ask", lambda address, path, *rest: (200, stands[int(address[-1])])
+    )
     controls = [word for number in range(6) for word in ("--control", f"127.0.0.1:800{number}")]
     assert app(["delays"] + controls) == 0 and "got" in capsys.readouterr().out
     assert app(["delays", "--json", "--region", "nowhere"] + controls) == 1
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,7 @@
-"""Connections between daemons: whole messages only; what can't be read ends its connection with a log line."""
+"""Connections between daemons: whole messages only; what can't be read ends its connection with a
+log line.
+"""
+
 import struct
 
 import pytest
@@ -12,7 +15,9 @@
     context, factory = fleet.world.listeners[address]
     client = Client(fleet.world)
     far = SimTransport(fleet.world, address[0], "10.7.0.1", factory(), 1000, context)
-    near = SimTransport(fleet.world, "10.7.0.1", address[0], client, 1000, type("Sender", (), {"alive": True})())
+    near = SimTransport(
+        fleet.world, "10.7.0.1", address[0], client, 1000, type("Sender", (), {"alive": True})()
+    )
     far.other, near.other = near, far
     far.protocol.connection_made(far)
     client.connection_made(near)
@@ -27,16 +32,29 @@
 HELLO = frame([wire.HELLO, 0, "10.7.0.1:7200"])
 
 
-@pytest.mark.parametrize("data", [
-    struct.pack("!I", 5) + b"\xff\x00\xff\x00\xff", struct.pack("!I", wire.MAX_FRAME_BYTES + 1),
-    frame([wire.LIVES, 0, []]), frame(["x"]), frame([wire.HELLO, 0, 7]), HELLO + frame([999, 0, []]),
-    HELLO + frame([wire.LIVES, 0, [[["i", "s"]], 0]]), HELLO + frame([wire.PREPARE, 1, [["a", 5]]]),
-    HELLO + frame([wire.ACCEPT, 1, [[5, "a"], b"nothing"]]), HELLO + frame([wire.CHOSEN, 0, 5]),
-    HELLO + frame([wire.SUBSCRIBE, 0, ["x"]]), HELLO + frame([wire.LIVES])])
+@pytest.mark.parametrize(
+    "data",
+    [
+        struct.pack("!I", 5) + b"\xff\x00\xff\x00\xff",
+        struct.pack("!I", wire.MAX_FRAME_BYTES + 1),
+        frame([wire.LIVES, 0, []]),
+        frame(["x"]),
+        frame([wire.HELLO, 0, 7]),
+        HELLO + frame([999, 0, []]),
+        HELLO + frame([wire.LIVES, 0, [[["i", "s"]], 0]]),
+        HELLO + frame([wire.PREPARE, 1, [["a", 5]]]),
+        HELLO + frame([wire.ACCEPT, 1, [[5, "a"], b"nothing"]]),
+        HELLO + frame([wire.CHOSEN, 0, 5]),
+        HELLO + frame([wire.SUBSCRIBE, 0, ["x"]]),
+        HELLO + frame([wire.LIVES]),
+    ],
+)
 def test_an_unreadable_message_closes_its_connection_and_nothing_else(data):
     fleet = Fleet(31)
     fleet.world.run(4000)
-    client = dial(fleet, ("10.0.0.1", 7201 if data.startswith(HELLO) and len(data) % 2 == 0 else 7200))
+    client = dial(
+        fleet, ("10.0.0.1", 7201 if data.startswith(HELLO) and len(data) % 2 == 0 else 7200)
+    )
     client.transport.write(data)
     fleet.world.run(500)
     assert client.closed
@@ -53,4 +71,4 @@
     fleet.world.run(1000)
     assert not client.closed
     size = struct.unpack_from("!I", client.got)[0]
-    assert wire.unpack(client.got[4:4 + size], "answer", "here")[:2] == [wire.ANSWER, 7]
+    assert wire.unpack(client.got[4 : 4 + size], "answer", "here")[:2] == [wire.ANSWER, 7]
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -1,5 +1,8 @@
-"""Measures what grows with the fleet: the real code of membership, configuration, endpoints and choice, over the simulated
-network of the tests, many hollow daemons in one process. `python3 tools/capacity.py --help` lists the parts."""
+"""Measures what grows with the fleet: the real code of membership, configuration, endpoints and
+choice, over the simulated network of the tests, many hollow daemons in one process. `python3
+tools/capacity.py --help` lists the parts.
+"""
+
 import json
 import os
 import random
@@ -57,7 +60,9 @@
 
 
 class HollowFleet:
-    """Memberships of as many proxies and core machines as asked for, spread evenly over zones and regions."""
+    """Memberships of as many proxies and core machines as asked for, spread evenly over zones and
+    regions.
+    """
 
     def __init__(self, proxies, core=6, zones=6, regions=3, seed=1):
         self.world = CountingWorld(seed)
@@ -81,24 +86,40 @@
         ip = self.ip(kind, n)
         self.world.regions[ip] = region
         listen = f'front = "{ip}:9000"' if program == "proxy" else f'control = "{ip}:8000"'
-        settings = read_settings(SETTINGS.format(name=f"{program}-{n}", ip=ip, zone=zone, region=region, listen=listen,
-                                                 zones=self.table,
-                                                 seeds=", ".join(f'"{seed}:8000"' for seed in self.seeds)))
+        settings = read_settings(
+            SETTINGS.format(
+                name=f"{program}-{n}",
+                ip=ip,
+                zone=zone,
+                region=region,
+                listen=listen,
+                zones=self.table,
+                seeds=", ".join(f'"{seed}:8000"' for seed in self.seeds),
+            )
+        )
         context = SimContext(self.world, settings, f"{program}-{n}")
         address = f"{ip}:{7200 + offset}"
-        membership = Membership(context, address, program, f"{ip}:9000" if program == "proxy" else "")
-        membership.placer = lambda members, table, moves: place(members, table, moves, settings.zones)
+        membership = Membership(
+            context, address, program, f"{ip}:9000" if program == "proxy" else ""
+        )
+        membership.placer = lambda members, table, moves: place(
+            members, table, moves, settings.zones
+        )
         self.members[address] = membership
         membership.start()
         return membership
 
     def formed(self):
         alive = [m for m in self.members.values() if m.context.alive]
-        return all(m.converged() and sum(1 for x in m.state.members.values() if x.state == 1) == len(alive)
-                   for m in alive)
+        return all(
+            m.converged() and sum(1 for x in m.state.members.values() if x.state == 1) == len(alive)
+            for m in alive
+        )
 
     def measure(self, ms):
-        """(messages, bytes, seconds of processor) of all daemons together in a stretch of simulated time."""
+        """(messages, bytes, seconds of processor) of all daemons together in a stretch of simulated
+        time.
+        """
         before, start_s = list(self.sent), time.process_time()
         self.world.run(ms)
         return self.sent[0] - before[0], self.sent[1] - before[1], time.process_time() - start_s
@@ -107,8 +128,13 @@
         """Runs until all have converged: (done, ms, messages, bytes, seconds of processor)."""
         before, start_s, start_ms = list(self.sent), time.process_time(), self.world.env.now
         done = self.world.until(self.formed, limit_ms, 250)
-        return (done, self.world.env.now - start_ms, self.sent[0] - before[0], self.sent[1] - before[1],
-                time.process_time() - start_s)
+        return (
+            done,
+            self.world.env.now - start_ms,
+            self.sent[0] - before[0],
+            self.sent[1] - before[1],
+            time.process_time() - start_s,
+        )
 
     def restart(self, n):
         """Kills a proxy and starts it again after 800 ms, as a new life that knows nothing."""
@@ -118,37 +144,91 @@
 
 
 def membership_row(proxies, core, zones=9, regions=3):
-    """What one size of the fleet costs each daemon: at the start, calm, and at the restart of one proxy."""
+    """What one size of the fleet costs each daemon: at the start, calm, and at the restart of one
+    proxy.
+    """
     fleet = HollowFleet(proxies, core, zones, regions)
     daemons = len(fleet.members)
     formed, ms, messages, size, cpu = fleet.settle(90000)
-    row = {"daemons": daemons, "formed": formed, "startMs": ms, "startMessages": messages / daemons,
-           "startKb": size / daemons / 1000.0, "startCpuMs": cpu / daemons * 1000.0}
+    row = {
+        "daemons": daemons,
+        "formed": formed,
+        "startMs": ms,
+        "startMessages": messages / daemons,
+        "startKb": size / daemons / 1000.0,
+        "startCpuMs": cpu / daemons * 1000.0,
+    }
     fleet.world.run(5000)
     messages, size, cpu = fleet.measure(10000)
-    row.update(calmMessagesPerS=messages / daemons / 10.0, calmBytesPerS=size / daemons / 10.0,
-               calmCpuMsPerS=cpu / daemons * 100.0)
+    row.update(
+        calmMessagesPerS=messages / daemons / 10.0,
+        calmBytesPerS=size / daemons / 10.0,
+        calmCpuMsPerS=cpu / daemons * 100.0,
+    )
     one = fleet.members[fleet.ip(1, 1) + ":7200"]
     row.update(stateBytes=len(one.packed_state()), overviewBytes=len(one.overview()))
     fleet.sent[2] = 0
     fleet.restart(min(3, proxies - 1))
     done, ms, messages, size, cpu = fleet.settle(90000)
-    row.update(restartDone=done, restartMs=ms, restartMessages=messages / daemons, restartKb=size / daemons / 1000.0,
-               restartCpuMs=cpu / daemons * 1000.0, largestBytes=fleet.sent[2])
+    row.update(
+        restartDone=done,
+        restartMs=ms,
+        restartMessages=messages / daemons,
+        restartKb=size / daemons / 1000.0,
+        restartCpuMs=cpu / daemons * 1000.0,
+        largestBytes=fleet.sent[2],
+    )
     return row
 
 
 def configuration_of(routes, tenants, services):
     """A configuration of this size, with names as long as the operators' ones."""
-    return {"version": "r9", "parentVersion": "r8",
-            "routes": [{"name": f"r-{n:07d}", "host": f"h{n // 4:06d}.example", "pathPrefix": f"/p{n:06d}/x/",
-                        "variant": "pure", "timeoutMs": 3000, "targetMs": 800, "priority": 1, "maxAttempts": 2,
-                        "homeRegions": [], "service": f"service-{n % services:05d}"} for n in range(routes)],
-            "services": [{"name": f"service-{n:05d}", "healthPath": "/health", "maxConns": 110, "protocol": "h1",
-                          "tls": False, "warmupS": 3.0, "coldPerS": 4.1} for n in range(services)],
-            "limits": {"headerMaxBytes": 16384, "bodyMaxBytes": 67108864, "headerReadMs": 3000, "idleMs": 15000},
-            **({"tenants": [{"name": f"t{n:06d}", "apiKeys": [f"key-{n:024x}"]} for n in range(tenants)]}
-               if tenants else {})}
+    return {
+        "version": "r9",
+        "parentVersion": "r8",
+        "routes": [
+            {
+                "name": f"r-{n:07d}",
+                "host": f"h{n // 4:06d}.example",
+                "pathPrefix": f"/p{n:06d}/x/",
+                "variant": "pure",
+                "timeoutMs": 3000,
+                "targetMs": 800,
+                "priority": 1,
+                "maxAttempts": 2,
+                "homeRegions": [],
+                "service": f"service-{n % services:05d}",
+            }
+            for n in range(routes)
+        ],
+        "services": [
+            {
+                "name": f"service-{n:05d}",
+                "healthPath": "/health",
+                "maxConns": 110,
+                "protocol": "h1",
+                "tls": False,
+                "warmupS": 3.0,
+                "coldPerS": 4.1,
+            }
+            for n in range(services)
+        ],
+        "limits": {
+            "headerMaxBytes": 16384,
+            "bodyMaxBytes": 67108864,
+            "headerReadMs": 3000,
+            "idleMs": 15000,
+        },
+        **(
+            {
+                "tenants": [
+                    {"name": f"t{n:06d}", "apiKeys": [f"key-{n:024x}"]} for n in range(tenants)
+                ]
+            }
+            if tenants
+            else {}
+        ),
+    }
 
 
 def timed(work):
@@ -167,33 +247,69 @@
     held, peak = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     _, table_ms = timed(lambda: empty_snapshot().with_value(read))
-    return {"routes": routes, "tenants": tenants, "services": services, "textBytes": len(text),
-            "packedBytes": len(value.packed), "packMs": pack_ms, "unpackMs": unpack_ms, "tableMs": table_ms,
-            "heldMb": held / 1e6, "peakMb": peak / 1e6, "hosts": len(snapshot.hosts)}
+    return {
+        "routes": routes,
+        "tenants": tenants,
+        "services": services,
+        "textBytes": len(text),
+        "packedBytes": len(value.packed),
+        "packMs": pack_ms,
+        "unpackMs": unpack_ms,
+        "tableMs": table_ms,
+        "heldMb": held / 1e6,
+        "peakMb": peak / 1e6,
+        "hosts": len(snapshot.hosts),
+    }
 
 
 def endpoints_row(endpoints, services, zones=9):
     """What a registry holds of endpoints, and what a proxy is told when it starts."""
+
     def fill():
         lives = Lives()
         for n in range(endpoints):
-            lives.merge(Life(f"i-{n:08x}", f"service-{n % services:05d}", f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:8080",
-                             f"z{n % zones}", 4, READY, 5, 0, 0, 0, 1000.0, "v1"), 1000.0)
+            lives.merge(
+                Life(
+                    f"i-{n:08x}",
+                    f"service-{n % services:05d}",
+                    f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:8080",
+                    f"z{n % zones}",
+                    4,
+                    READY,
+                    5,
+                    0,
+                    0,
+                    0,
+                    1000.0,
+                    "v1",
+                ),
+                1000.0,
+            )
         return lives
+
     tracemalloc.start()
     lives, _ = timed(fill)
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    beats = [Life(life.id, life.service, life.address, life.zone, 4, READY, 6, 0, 0, 0, 2500.0, "v1")
-             for life in list(lives.by_id.values())[:5000]]
+    beats = [
+        Life(life.id, life.service, life.address, life.zone, 4, READY, 6, 0, 0, 0, 2500.0, "v1")
+        for life in list(lives.by_id.values())[:5000]
+    ]
     _, beat_ms = timed(lambda: [lives.merge(life, 2500.0) for life in beats])
     _, mark_ms = timed(lives.mark_of_all)
     rows = [life.fields(2000.0) for life in lives.by_id.values()]
     packed, pack_ms = timed(lambda: wire.pack_rows(rows))
     _, unpack_ms = timed(lambda: wire.unpack_rows(packed))
-    return {"endpoints": endpoints, "services": services, "heldMb": held / 1e6, "welcomeBytes": len(packed),
-            "welcomePackMs": pack_ms, "welcomeReadMs": unpack_ms, "mergeUs": beat_ms / len(beats) * 1000.0,
-            "markMs": mark_ms}
+    return {
+        "endpoints": endpoints,
+        "services": services,
+        "heldMb": held / 1e6,
+        "welcomeBytes": len(packed),
+        "welcomePackMs": pack_ms,
+        "welcomeReadMs": unpack_ms,
+        "mergeUs": beat_ms / len(beats) * 1000.0,
+        "markMs": mark_ms,
+    }
 
 
 class Sink:
@@ -213,9 +329,20 @@
 
 
 def beats_row(beats):
-    """What a registry pays for one heartbeat, from its bytes to the answer's, and a proxy for each endpoint that it holds."""
-    settings = read_settings(SETTINGS.format(name="r", ip="10.0.0.1", zone="z0", region="r0", seeds="", zones='z0 = "r0"',
-                                             listen='control = "10.0.0.1:8000"'))
+    """What a registry pays for one heartbeat, from its bytes to the answer's, and a proxy for each
+    endpoint that it holds.
+    """
+    settings = read_settings(
+        SETTINGS.format(
+            name="r",
+            ip="10.0.0.1",
+            zone="z0",
+            region="r0",
+            seeds="",
+            zones='z0 = "r0"',
+            listen='control = "10.0.0.1:8000"',
+        )
+    )
     context, lives = SimContext(World(1), settings, "r"), Lives()
 
     class Desk:
@@ -223,22 +350,50 @@
 
         @staticmethod
         def beat(id, table, answer):
-            lives.merge(Life(id, table["details"]["service"], table["address"], table["details"]["zone"], 4, READY,
-                             table["status"]["callSeq"], 0, 0, 0, 0.0, table["details"]["version"]), 0.0)
+            lives.merge(
+                Life(
+                    id,
+                    table["details"]["service"],
+                    table["address"],
+                    table["details"]["zone"],
+                    4,
+                    READY,
+                    table["status"]["callSeq"],
+                    0,
+                    0,
+                    0,
+                    0.0,
+                    table["details"]["version"],
+                ),
+                0.0,
+            )
             answer(200, {})
+
     connection = CallConnection(context, dispatcher(context, Desk, 4.0))
     connection.connection_made(Sink())
 
     def send():
         for n in range(beats):
-            body = json.dumps({"address": "10.9.0.1:8080", "details": {"service": "s", "version": "v1", "zone": "z0",
-                                                                       "slots": 4},
-                               "status": {"state": "ready", "callSeq": n + 1, "coldLeftMs": 0}}).encode()
-            connection.data_received(b"POST /v1/instances/i-7f3a91c2/heartbeat HTTP/1.1\r\nHost: r\r\nContent-Length: "
-                                     + str(len(body)).encode() + b"\r\n\r\n" + body)
+            body = json.dumps(
+                {
+                    "address": "10.9.0.1:8080",
+                    "details": {"service": "s", "version": "v1", "zone": "z0", "slots": 4},
+                    "status": {"state": "ready", "callSeq": n + 1, "coldLeftMs": 0},
+                }
+            ).encode()
+            connection.data_received(
+                b"POST /v1/instances/i-7f3a91c2/heartbeat HTTP/1.1\r\nHost: r\r\nContent-Length: "
+                + str(len(body)).encode()
+                + b"\r\n\r\n"
+                + body
+            )
+
     _, ms = timed(send)
     tracemalloc.start()
-    held = [Target(f"i-{n:08x}", "s", f"10.9.{n >> 8}.{n & 255}:80", "z0", "r0", 4, "v1") for n in range(2000)]
+    held = [
+        Target(f"i-{n:08x}", "s", f"10.9.{n >> 8}.{n & 255}:80", "z0", "r0", 4, "v1")
+        for n in range(2000)
+    ]
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return {"beats": beats, "beatUs": ms / beats * 1000.0, "targetBytes": size / len(held)}
@@ -251,19 +406,39 @@
 
     def __init__(self, route, service):
         self.route, self.service = route, service
-        self.start_ms, self.tried, self.homes, self.prefers, self.expected_ms = 0.0, (), (), None, None
+        self.start_ms, self.tried, self.homes, self.prefers, self.expected_ms = (
+            0.0,
+            (),
+            (),
+            None,
+            None,
+        )
 
 
 def choice_row(each):
     """What one choice costs where a service has so many endpoints."""
     world = World(1)
-    settings = read_settings(SETTINGS.format(name="p", ip="10.1.0.1", zone="z0", region="r0", seeds="", zones='z0 = "r0"',
-                                             listen='front = "10.1.0.1:9000"'))
+    settings = read_settings(
+        SETTINGS.format(
+            name="p",
+            ip="10.1.0.1",
+            zone="z0",
+            region="r0",
+            seeds="",
+            zones='z0 = "r0"',
+            listen='front = "10.1.0.1:9000"',
+        )
+    )
     chooser = Chooser(SimContext(world, settings, "p"), "10.1.0.1:7200")
     chooser.lease = Lease(settings.bounds)
-    snapshot = empty_snapshot().with_value(Value(1, 1, json.dumps(configuration_of(1, 0, 1)), (), (), {}))
+    snapshot = empty_snapshot().with_value(
+        Value(1, 1, json.dumps(configuration_of(1, 0, 1)), (), (), {})
+    )
     luck = random.Random(1)
-    targets = tuple(Target(f"i-{n}", "service-00000", f"10.9.0.{n}:80", f"z{n % 3}", f"r{n % 3}", 4) for n in range(each))
+    targets = tuple(
+        Target(f"i-{n}", "service-00000", f"10.9.0.{n}:80", f"z{n % 3}", f"r{n % 3}", 4)
+        for n in range(each)
+    )
     for target in targets:
         target.speed = luck.uniform(0.5, 2.0)
     snapshot = snapshot.with_targets({"service-00000": targets})
@@ -282,10 +457,16 @@
 
 
 PARTS = {
-    "membership": lambda sizes: [membership_row(n, max(3, n // 10)) for n in sizes or (30, 60, 120, 240)],
-    "configuration": lambda sizes: [configuration_row(n, n * 17 // 3, max(1, n * 8 // 75))
-                                    for n in sizes or (3000, 10000, 30000)],
-    "endpoints": lambda sizes: [endpoints_row(n, max(1, n // 22)) for n in sizes or (7000, 23000, 70000)],
+    "membership": lambda sizes: [
+        membership_row(n, max(3, n // 10)) for n in sizes or (30, 60, 120, 240)
+    ],
+    "configuration": lambda sizes: [
+        configuration_row(n, n * 17 // 3, max(1, n * 8 // 75))
+        for n in sizes or (3000, 10000, 30000)
+    ],
+    "endpoints": lambda sizes: [
+        endpoints_row(n, max(1, n // 22)) for n in sizes or (7000, 23000, 70000)
+    ],
     "beats": lambda sizes: [beats_row(n) for n in sizes or (500, 2000)],
     "choice": lambda sizes: [choice_row(n) for n in sizes or (22, 60, 180)],
 }
@@ -296,8 +477,15 @@
         sys.stderr.write(f"capacity: want a part ({', '.join(PARTS)}) and, if you like, sizes\n")
         return 2
     for row in PARTS[words[0]]([int(word) for word in words[1:]]):
-        print(json.dumps({name: round(value, 2) if isinstance(value, float) else value for name, value in row.items()}),
-              flush=True)
+        print(
+            json.dumps(
+                {
+                    name: round(value, 2) if isinstance(value, float) else value
+                    for name, value in row.items()
+                }
+            ),
+            flush=True,
+        )
     return 0
 
 
