--- a/stagevale/affinity/holding.py
+++ b/stagevale/affinity/holding.py
@@ -15,8 +15,8 @@
     UNKNOWN,
     Entry,
     Record,
-    fingerprint_of,
     entry_from,
+    fingerprint_of,
     group_name,
     record_from,
 )
--- a/stagevale/balancing/snapshot.py
+++ b/stagevale/balancing/snapshot.py
@@ -5,7 +5,6 @@
 from stagevale.partners import NO_TABLE, merged_table
 from stagevale.tenants import read_keys
 
-
 KEEP_S = 600
 
 
--- a/stagevale/configuration/checking.py
+++ b/stagevale/configuration/checking.py
@@ -36,7 +36,7 @@
     try:
         return version_number(value)
     except ValueError as failure:
-        raise t.DataError(str(failure))
+        raise t.DataError(str(failure)) from None
 
 
 def check_prefix(value):
--- a/stagevale/configuration/disk.py
+++ b/stagevale/configuration/disk.py
@@ -1,5 +1,6 @@
 """What a store keeps on disk: whole generations of a dbm.dumb table, synced before they count."""
 
+import contextlib
 import dbm.dumb
 import os
 import re
@@ -28,10 +29,8 @@
             os.close(number)
 
     def remove(self, name):
-        try:
+        with contextlib.suppress(FileNotFoundError):
             os.remove(os.path.join(self.path, name))
-        except FileNotFoundError:
-            pass
 
 
 def read_table(folder, name, key):
--- a/stagevale/context/__init__.py
+++ b/stagevale/context/__init__.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import contextlib
 import queue
 import random
 import socket
@@ -118,7 +119,5 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     ):
-        try:
+        with contextlib.suppress(OSError):
             sock.setsockopt(level, option, value)
-        except OSError:
-            pass
--- a/stagevale/forwarding/client.py
+++ b/stagevale/forwarding/client.py
@@ -241,9 +241,7 @@
 
     def eof_received(self):
         self.last_read = True
-        if not self.requests:
-            return False
-        return True
+        return bool(self.requests)
 
     def connection_lost(self, failure):
         self.unwatch()
--- a/stagevale/membership/__init__.py
+++ b/stagevale/membership/__init__.py
@@ -714,7 +714,10 @@
             if marks[0] != self.state.mark or len(row_bytes) != 2 * len(counting):
                 return ()
             return zip(
-                counting, struct.unpack(f"!{len(counting)}H", row_bytes), [marks[0]] * len(counting)
+                counting,
+                struct.unpack(f"!{len(counting)}H", row_bytes),
+                [marks[0]] * len(counting),
+                strict=False,
             )
         count = len(row_bytes) // 7
         beats = struct.unpack_from(f"!{count}H", row_bytes)
@@ -722,7 +725,7 @@
         known = self.keys
         return [
             (known[key], beat, marks[at])
-            for key, beat, at in zip(keys, beats, row_bytes[6 * count :])
+            for key, beat, at in zip(keys, beats, row_bytes[6 * count :], strict=False)
             if key in known and at < len(marks)
         ]
 
--- a/stagevale/placement/__init__.py
+++ b/stagevale/placement/__init__.py
@@ -95,7 +95,7 @@
         if any(move.part == part for move in new_moves):
             continue
         if set(wanted) == set(held):
-            new_table[part] = wanted if not held else held
+            new_table[part] = held if held else wanted
             continue
         comers = [address for address in wanted if address not in held]
         group = list(held)
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -6,14 +6,13 @@
 from stagevale.balancing import Target
 from stagevale.configuration.value import read_value
 from stagevale.duties.counts import WindowCounts
+from stagevale.forwarding import Forwarder
+from stagevale.forwarding.client import ClientConnection
+from stagevale.forwarding.endpoint import HOP_HEADERS, EndpointConnection
 from stagevale.placement import place
 from stagevale.programs import Daemon
 from stagevale.registrations import GONE, READY, life_from_fields
 from stagevale.registrations.calls import CallConnection
-from stagevale.forwarding import Forwarder
-from stagevale.forwarding.client import ClientConnection
-from stagevale.forwarding.endpoint import HOP_HEADERS, EndpointConnection
-
 
 REPORT_ROUNDS = 3.5
 OUTCOMES_EVERY = 3
--- a/stagevale/programs/registry.py
+++ b/stagevale/programs/registry.py
@@ -5,15 +5,14 @@
 import os
 
 from stagevale.configuration.disk import DiskRegister, Folder
-from stagevale.duties.keeping import USAGE_DUTY, DutyKeeper
 from stagevale.duties.counts import Ledger
+from stagevale.duties.keeping import USAGE_DUTY, DutyKeeper
 from stagevale.duties.true_time import TrueTime
 from stagevale.placement import place
 from stagevale.programs import Daemon
 from stagevale.registrations.calls import CallConnection, dispatcher
 from stagevale.registrations.desk import Desk
 
-
 TTL_SHARE = 0.8
 
 
--- a/stagevale/programs/store.py
+++ b/stagevale/programs/store.py
@@ -2,8 +2,8 @@
 
 import os
 
-from stagevale.configuration.keeping import Keeper
 from stagevale.configuration.disk import DiskRegister, Folder
+from stagevale.configuration.keeping import Keeper
 from stagevale.placement import place
 from stagevale.programs import Daemon
 
--- a/stagevale/registrations/desk.py
+++ b/stagevale/registrations/desk.py
@@ -213,7 +213,7 @@
     # who keeps what
 
     def registries(self):
-        return [member for member in self.membership.members("registry", (0, UP, LEAVING))]
+        return list(self.membership.members("registry", (0, UP, LEAVING)))
 
     def group_of(self, part):
         """The members that keep a part: by the placement table, or the shared seeds before there is
@@ -724,7 +724,7 @@
         """
         now_ms = self.context.now_ms()
         rows, keys = [], []
-        for number, summary in zip(*body):
+        for number, summary in zip(*body, strict=False):
             differing, wanted = self.lives.differing(PARTS[number], summary, now_ms)
             rows += differing
             keys += wanted
--- a/stagevale/rehearsing/__init__.py
+++ b/stagevale/rehearsing/__init__.py
@@ -6,9 +6,9 @@
 import random
 
 from stagevale.balancing import Chooser, Target
-from stagevale.balancing.snapshot import Snapshot, Limits, Route, Service
-from stagevale.placement import fronts_for
+from stagevale.balancing.snapshot import Limits, Route, Service, Snapshot
 from stagevale.forwarding import REFUSE_SHARE
+from stagevale.placement import fronts_for
 
 PURE, EFFECTFUL = "repeatable", "at most once"
 
@@ -100,7 +100,7 @@
                 for id, speed in learned:
                     speeds.setdefault(id, []).append(speed)
                 self.rtt_ms[row["zone"]] = dict(ways)
-                for name, service, pure, work_ms, size, went in flows:
+                for name, service, _pure, work_ms, size, went in flows:
                     went = dict(went)
                     went.pop("again", None)
                     requests = sum(went.values())
@@ -253,7 +253,7 @@
         address: Front(plan, address, zone, region, proxies, lost, flows.get(address, ()), rng)
         for address, (_, zone, region) in alive.items()
     }
-    running = {id: 0 for id in plan.endpoints}
+    running = dict.fromkeys(plan.endpoints, 0)
     queues = {id: [] for id in plan.endpoints}
     tallies = {}
     events, order = [], 0
--- a/stagevale/rollouts/checking.py
+++ b/stagevale/rollouts/checking.py
@@ -40,7 +40,7 @@
     if table["from"] == table["to"]:
         return Error(ConfigFailure(400, "to: the same version as from"))
     steps = table["steps"]
-    if any(later <= earlier for earlier, later in zip(steps, steps[1:])):
+    if any(later <= earlier for earlier, later in zip(steps, steps[1:], strict=False)):
         return Error(ConfigFailure(400, "steps: want shares that rise"))
     if steps[-1] != 1.0:
         return Error(ConfigFailure(400, "steps: the last share must be 1"))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -4,6 +4,7 @@
 import json
 
 from simworld import SimContext, SimTransport, World
+
 from stagevale.configuration.value import Value
 from stagevale.programs.proxy import Proxy
 from stagevale.registrations import READY, Life
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -5,11 +5,10 @@
 import json
 
 import pytest
-
 from simworld import Fleet
 from standins import Endpoint, client_at, good, request
+
 from stagevale.affinity import (
-    ANSWERED,
     FREE,
     NOTED,
     Entry,
@@ -239,7 +238,7 @@
     day = Crossing(seed=7)
     assert day.answer(day.send(2, "k1", session="s7", path="/home/x")) == "200"
     day.world.run(500)
-    for number, registry in day.fleet.registries.items():
+    for _number, registry in day.fleet.registries.items():
         for name, group in registry.desk.sessions.groups.items():
             if name.startswith("a,b|") and group.records:
                 assert registry.membership.me.region in ("a", "b")
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -44,7 +44,7 @@
     ):
         folder = tmp_path / f"torn-{number}"
         shutil.copytree(before, folder)
-        for name, data in zip(fresh, (dat, index)):
+        for name, data in zip(fresh, (dat, index), strict=False):
             if data is not None:
                 (folder / name).write_bytes(data)
         record = DiskRegister(Folder(str(folder))).load()
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -15,9 +15,9 @@
 from http.server import BaseHTTPRequestHandler, HTTPServer
 
 import pytest
+from test_register import config
 
 from stagevale.commands import app
-from test_register import config
 
 ROOT = pathlib.Path(__file__).parent.parent
 SETTINGS = """
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -6,8 +6,7 @@
 import json
 
 import pytest
-
-from simworld import Fleet, MemoryDisk
+from simworld import Fleet
 
 PLATFORM = ("10.8.0.1", 80)
 DUTIES = '\n[platform]\naddress = "10.8.0.1:80"\nduties = ["usage_report"]\ndutyPerS = 50\n'
@@ -258,7 +257,7 @@
     first = days.holder()
     days.fleet.kill_core(first)
     for _ in range(4):
-        for number, registry in days.fleet.registries.items():
+        for _number, registry in days.fleet.registries.items():
             if registry.context.alive:
                 registry.duties.elect()
         days.world.run(1500)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,9 +3,9 @@
 """
 
 import pytest
-
 from approval import approve
 from standins import Scene, good, request, route
+
 from stagevale.registrations import DRAINING
 
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -7,9 +7,11 @@
 import random
 import sys
 
-from hypothesis import given, settings, strategies as st
-
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from simworld import Fleet
+from test_registrations import beat_of
+
 from stagevale import wire
 from stagevale.membership import clocks
 from stagevale.membership.state import (
@@ -28,7 +30,6 @@
 )
 from stagevale.placement import part_of
 from stagevale.registrations import DRAINING, GONE, READY, Life, Lives, life_from_fields
-from test_registrations import beat_of
 
 sys.path.insert(
     0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "tools")
@@ -135,7 +136,7 @@
 def test_bytes_of_a_restart_for_each_daemon_stay_bounded_as_the_fleet_doubles():
     rows = [capacity.membership_row(n, 4, 4, 2) for n in (12, 24, 48)]
     assert all(row["formed"] and row["restartDone"] for row in rows)
-    for smaller, larger in zip(rows, rows[1:]):
+    for smaller, larger in zip(rows, rows[1:], strict=False):
         growth = larger["daemons"] / smaller["daemons"]
         assert larger["calmBytesPerS"] < smaller["calmBytesPerS"] * growth * 2.0
         assert larger["restartKb"] < smaller["restartKb"] * growth * 2.0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 from approval import approve
 from simworld import Fleet
+
 from stagevale.membership import clocks
 from stagevale.membership.state import (
     COMPLETE,
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -5,10 +5,11 @@
 import json
 
 import pytest
-from hypothesis import given, settings, strategies as st
-
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from simworld import Fleet
 from standins import Endpoint, client_at, good, request
+
 from stagevale.leases import wait_ms
 from stagevale.partners import merged_table
 from stagevale.partners.checking import read_offer
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -3,8 +3,8 @@
 import sys
 
 import pytest
-
 from standins import Scene, request
+
 from stagevale.balancing.policies import FAILURES_BORNE, Policy, PolicyFailure, load_policy
 
 
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -4,6 +4,7 @@
 
 from approval import approve
 from simworld import Fleet
+
 from stagevale.configuration.value import Value
 
 
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -3,14 +3,14 @@
 import json
 
 import pytest
-
 from simworld import Fleet
+from test_register import config
+
 from stagevale import wire
 from stagevale.configuration.checking import fingerprint, read_config
 from stagevale.registrations import DRAINING, GONE, READY, Life, Lives
 from stagevale.registrations.calls import Failure, read_beat
 from stagevale.wire.switchboard import Switchboard
-from test_register import config
 
 
 def beat_of(id, state="ready", seq=1, cold=0, service="s", zone="a1"):
--- a/tests/test_rehearsing.py
+++ b/tests/test_rehearsing.py
@@ -5,9 +5,9 @@
 import json
 
 import pytest
-
 from simworld import ZONES, Fleet, SimTransport
 from standins import Client, Endpoint, good, request, route
+
 from stagevale.rehearsing import Plan, RehearsalFailure, rehearse, report, shifted
 from stagevale.settings import Bounds
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -5,10 +5,11 @@
 import json
 
 import pytest
-from hypothesis import given, settings, strategies as st
-
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from simworld import Fleet
 from standins import Endpoint, Scene, client_at, good, request
+
 from stagevale.configuration.keeping import Keeper
 from stagevale.configuration.orders import MOVE_ROLLOUT, START_ROLLOUT, decide
 from stagevale.configuration.value import Value, read_value
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -7,6 +7,7 @@
 
 from simworld import Fleet
 from standins import Endpoint, Scene, client_at, good, request, route
+
 from stagevale.commands import app
 from stagevale.doctoring import stand_faults
 from stagevale.settings import Bounds
@@ -97,7 +98,7 @@
     yard.delay["a"] = 450
     yard.spans(12000)
     shares = yard.shares[-280:]
-    for before, after in zip(shares, shares[1:]):
+    for before, after in zip(shares, shares[1:], strict=False):
         if abs(after - before) > 1e-6:
             turns += way * (after - before) < 0
             way = after - before
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -3,9 +3,9 @@
 import json
 
 import pytest
-
 from simworld import Fleet
 from standins import Scene, good, request, route
+
 from stagevale.configuration.checking import read_config
 from stagevale.registrations import DRAINING
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,9 +5,9 @@
 import struct
 
 import pytest
-
 from simworld import Fleet, SimTransport
 from standins import Client
+
 from stagevale import wire
 
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -14,6 +14,7 @@
 sys.path[:0] = [ROOT, os.path.join(ROOT, "tests")]
 
 from simworld import SimContext, World  # noqa: E402
+
 from stagevale import wire  # noqa: E402
 from stagevale.balancing import Chooser, Target  # noqa: E402
 from stagevale.balancing.snapshot import empty_snapshot  # noqa: E402
@@ -452,7 +453,7 @@
     xs, ys = [row[by] for row in rows], [row[of] for row in rows]
     mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
     spread = sum((x - mean_x) ** 2 for x in xs) or 1.0
-    rise = sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys)) / spread
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys, strict=False)) / spread
     return mean_y - rise * mean_x, rise
 
 
