--- a/tests/simworld.py
+++ b/tests/simworld.py
@@ -132,6 +132,7 @@
         self.listeners, self.sockets, self.cuts, self.dead, self.disks = {}, {}, set(), set(), {}
         self.transports, self.lines, self.stalled = [], [], set()
         self.regions = {}
+        self.one_way = set()
         self.steps = {}
         self.frozen = {}
         self.crossed = 0
@@ -172,7 +173,12 @@
         return 0.2 if one == other else 1.0 if here == there else 30.0
 
     def is_cut(self, one, other):
-        return frozenset((one, other)) in self.cuts
+        """True where nothing that `one` sends reaches `other`."""
+        return frozenset((one, other)) in self.cuts or (one, other) in self.one_way
+
+    def cut_one_way(self, ones, others):
+        """Nothing that `ones` send reaches `others`; the way back stays open."""
+        self.one_way |= {(one, other) for one in ones for other in others if one != other}
 
     def cut(self, ones, others):
         for one in ones:
@@ -182,6 +188,7 @@
 
     def join(self):
         self.cuts.clear()
+        self.one_way.clear()
 
     def up(self, owner):
         return owner not in self.dead
@@ -248,7 +255,7 @@
 
         def arrive():
             found = world.listeners.get(address)
-            if world.is_cut(mine, address[0]):
+            if world.is_cut(mine, address[0]) or world.is_cut(address[0], mine):
                 self.after(timeout_ms, failed, TimeoutError("timed out"))
                 return
             if found is None:
@@ -367,22 +374,31 @@
 ZONES = ("a1", "b1", "c1", "a2", "b2", "c2")
 
 
+def number_of(voter):
+    """The number of the machine that a voter's address belongs to."""
+    return int(voter.partition(":")[0].rpartition(".")[2]) - 1
+
+
 class Fleet:
-    """Six core machines in three regions, and as many proxies as asked for."""
+    """Core machines in three regions, six unless told otherwise, and as many proxies as asked for.
 
-    def __init__(self, seed=1, proxies=0, more=""):
+    `seeds` are the numbers of the machines that settings name from now on.
+    """
+
+    def __init__(self, seed=1, proxies=0, more="", core=6):
         self.world = World(seed)
         self.more = more
+        self.seeds = (1, 2, 3)
         self.registries, self.stores, self.proxies, self.store_daemons = {}, {}, {}, {}
-        for number, zone in enumerate(ZONES):
-            self.world.regions[f"10.0.0.{number + 1}"] = zone[0]
+        for number in range(core):
+            self.world.regions[f"10.0.0.{number + 1}"] = ZONES[number % 6][0]
             self.start_core(number, True)
         for number in range(proxies):
             self.world.regions[f"10.0.1.{number + 1}"] = ZONES[number % 6][0]
             self.start_proxy(number)
 
     def settings(self, ip, zone, listen, first):
-        seeds = ", ".join(f'"10.0.0.{n}:8000"' for n in (1, 2, 3))
+        seeds = ", ".join(f'"10.0.0.{n}:8000"' for n in self.seeds)
         return read_settings(
             SETTINGS.format(
                 name=f"node-{ip}",
@@ -445,6 +461,22 @@
         self.world.kill(self.registries[number].context)
         self.world.kill(self.stores[number].context)
 
+    def end_core(self, number):
+        """SIGTERM for both daemons of a core machine."""
+        for daemon in (self.registries[number], self.store_daemons[number]):
+            if not daemon.ending and daemon.context.alive:
+                daemon.ending = daemon.context.stopping = True
+                daemon.end()
+
+    def running(self, number):
+        """True while a daemon of a core machine still runs."""
+        return self.registries[number].context.alive or self.stores[number].context.alive
+
+    def voters(self):
+        """The numbers of the machines whose stores vote, as the leader has it."""
+        leader = self.owners()[0] - 1
+        return [number_of(voter) for voter in self.stores[leader].chosen.group]
+
     def wipe(self, number):
         self.world.disks[f"10.0.0.{number + 1}"] = MemoryDisk()
         self.world.disks[f"registry 10.0.0.{number + 1}"] = MemoryDisk()
