--- a/stagevale/configuration/disk.py
+++ b/stagevale/configuration/disk.py
@@ -67,37 +67,59 @@
     folder.remove(name + ".bak")
 
 
-class DiskRegister:
-    """Saves and loads the store's record. Every call belongs on the disk thread."""
+class NumberedTables:
+    """Tables of one record each, `register-N`, in a folder. Every call belongs on the disk
+    thread.
+    """
 
-    __slots__ = ("folder", "generation")
+    __slots__ = ("folder",)
 
     def __init__(self, folder):
         self.folder = folder
+
+    def numbers(self):
+        """The numbers of the tables that the folder names, whole or not, in rising order."""
+        return sorted(
+            int(match.group(1)) for match in map(NAME.match, self.folder.names()) if match
+        )
+
+    def read(self, number):
+        """A table's record, or None where it is torn or missing."""
+        return read_table(self.folder, f"register-{number}", b"record")
+
+    def write(self, number, record):
+        """Writes a table and syncs it."""
+        write_table(self.folder, f"register-{number}", b"record", record)
+
+    def drop(self, number):
+        """Removes a table; after a loss of power it may be there again."""
+        drop_table(self.folder, f"register-{number}")
+
+
+class DiskRegister:
+    """Saves and loads a record of bytes. Every call belongs on the disk thread."""
+
+    __slots__ = ("tables", "generation")
+
+    def __init__(self, folder):
+        self.tables = NumberedTables(folder)
         self.generation = 0
 
     def load(self):
         """The newest record that is whole, or None where there is none."""
-        generations = sorted(
-            (int(match.group(1)) for match in map(NAME.match, self.folder.names()) if match),
-            reverse=True,
-        )
+        generations = self.tables.numbers()
         if generations:
-            self.generation = generations[0]
-        for generation in generations:
-            record = self.read(generation)
+            self.generation = generations[-1]
+        for generation in reversed(generations):
+            record = self.tables.read(generation)
             if record is not None:
                 return record
         return None
 
-    def read(self, generation):
-        return read_table(self.folder, f"register-{generation}", b"record")
-
     def save(self, record):
         """Writes a fresh generation, syncs its files and the folder, then drops old ones."""
-        generation = self.generation + 1
-        self.generation = generation
-        write_table(self.folder, f"register-{generation}", b"record", record)
-        old = generation - GENERATIONS_KEPT
+        self.generation += 1
+        self.tables.write(self.generation, record)
+        old = self.generation - GENERATIONS_KEPT
         if old > 0:
-            drop_table(self.folder, f"register-{old}")
+            self.tables.drop(old)
--- a/stagevale/programs/registry.py
+++ b/stagevale/programs/registry.py
@@ -4,7 +4,7 @@
 
 import os
 
-from stagevale.configuration.disk import DiskRegister, Folder
+from stagevale.configuration.disk import DiskRegister, Folder, NumberedTables
 from stagevale.duties.counts import Ledger
 from stagevale.duties.node import USAGE_DUTY, DutyNode, read_duty_value
 from stagevale.duties.true_time import TrueTime
@@ -45,7 +45,9 @@
             os.makedirs(folder, exist_ok=True)
             self.desk.remember(self.open_disk(folder))
             if USAGE_DUTY in self.context.settings.duties:
-                self.take_part(VoteStorage(Folder(self.duties_folder()), read_duty_value))
+                self.take_part(
+                    VoteStorage(NumberedTables(Folder(self.duties_folder())), read_duty_value)
+                )
         self.desk.start()
         for name in ("control", "directory"):
             address = self.context.settings.listen.get(name)
--- a/stagevale/programs/store.py
+++ b/stagevale/programs/store.py
@@ -2,7 +2,7 @@
 
 import os
 
-from stagevale.configuration.disk import Folder
+from stagevale.configuration.disk import Folder, NumberedTables
 from stagevale.configuration.node import ConfigurationNode
 from stagevale.configuration.value import read_value
 from stagevale.placement import place
@@ -29,7 +29,7 @@
         """Where the vote is kept on this machine's disk."""
         folder = os.path.join(self.context.settings.data_path or ".", "store")
         os.makedirs(folder, exist_ok=True)
-        return VoteStorage(Folder(folder), read_value)
+        return VoteStorage(NumberedTables(Folder(folder)), read_value)
 
     def begin(self):
         super().begin()
--- a/stagevale/register/storage.py
+++ b/stagevale/register/storage.py
@@ -1,13 +1,8 @@
 """What a voter keeps on disk: a snapshot of its vote and the increments after it."""
 
-import re
-
 from stagevale import wire
 from stagevale.ballots import NO_BALLOT, as_ballot
-from stagevale.configuration.disk import drop_table, read_table, write_table
 
-NAME = re.compile(r"^register-(\d+)\.dir$")
-RECORD_KEY = b"record"
 SNAPSHOT, INCREMENT = 0, 1
 INCREMENTS_PER_SNAPSHOT = 24
 
@@ -106,10 +101,10 @@
     snapshot can't come from a save that was never acknowledged.
     """
 
-    __slots__ = ("folder", "read_value", "number", "first", "last", "written_bytes")
+    __slots__ = ("tables", "read_value", "number", "first", "last", "written_bytes")
 
-    def __init__(self, folder, read_value):
-        self.folder = folder
+    def __init__(self, tables, read_value):
+        self.tables = tables
         self.read_value = read_value
         self.number = 0
         self.first = 0
@@ -117,13 +112,11 @@
         self.written_bytes = 0
 
     def load(self):
-        """The newest vote whose every part is whole, or None for an empty folder.
+        """The newest vote whose every part is whole, or None for no tables at all.
 
         Raises DamagedDisk where there are files but no vote can be trusted.
         """
-        numbers = sorted(
-            int(match.group(1)) for match in map(NAME.match, self.folder.names()) if match
-        )
+        numbers = self.tables.numbers()
         if not numbers:
             return None
         self.number = numbers[-1]
@@ -147,7 +140,7 @@
         return vote
 
     def read(self, number):
-        data = read_table(self.folder, f"register-{number}", RECORD_KEY)
+        data = self.tables.read(number)
         try:
             return wire.unpack(data, "load", "disk") if data is not None else None
         except wire.WireFailure:
@@ -163,7 +156,7 @@
         whole = record is None
         if whole:
             record = vote.snapshot()
-        write_table(self.folder, f"register-{self.number}", RECORD_KEY, record)
+        self.tables.write(self.number, record)
         self.written_bytes += len(record)
         self.last = vote
         if whole:
@@ -172,7 +165,6 @@
     def drop_before(self, number):
         """Removes the saves that a snapshot has replaced."""
         self.first = number
-        for name in self.folder.names():
-            match = NAME.match(name)
-            if match and int(match.group(1)) < number:
-                drop_table(self.folder, f"register-{match.group(1)}")
+        for old in self.tables.numbers():
+            if old < number:
+                self.tables.drop(old)
