--- a/stagevale/affinity/holding.py
+++ b/stagevale/affinity/holding.py
@@ -76,7 +76,7 @@
 
     __slots__ = (
         "context",
-        "board",
+        "switchboard",
         "forwarder",
         "membership",
         "held",
@@ -88,9 +88,9 @@
         "noting",
     )
 
-    def __init__(self, context, board, forwarder, membership):
+    def __init__(self, context, switchboard, forwarder, membership):
         self.context = context
-        self.board = board
+        self.switchboard = switchboard
         self.forwarder = forwarder
         self.membership = membership
         self.held = OrderedDict()
@@ -100,7 +100,7 @@
         self.looked = set()
         self.counts = {"held": 0, "handedOver": 0, "repeats": 0, "unknown": 0, "refused": 0}
         self.noting = True
-        board.on(wire.SESSION_HEIR, self.on_heir)
+        switchboard.on(wire.SESSION_HEIR, self.on_heir)
 
     def me(self):
         return f"{self.membership.me.address}#{self.membership.me.uid}"
@@ -182,7 +182,7 @@
                     if self.pinned(session, service) is None:
                         self.pin(session, service, id)
 
-        self.board.call(
+        self.switchboard.call(
             near[0], wire.SESSION_LOOK, [name, version, session], self.call_ms(), answered
         )
 
@@ -218,7 +218,7 @@
                 done(answers)
 
         for peer in members:
-            self.board.call(
+            self.switchboard.call(
                 peer,
                 kind,
                 [name, version] + body,
@@ -654,7 +654,7 @@
                 [session, hold.name, hold.record.number]
             )
         for heir, sessions in rows.items():
-            self.board.cast(heir, wire.SESSION_HEIR, sessions)
+            self.switchboard.send(heir, wire.SESSION_HEIR, sessions)
 
     def on_heir(self, peer, body, reply):
         for session, name, number in body:
--- a/stagevale/affinity/keeping.py
+++ b/stagevale/affinity/keeping.py
@@ -31,7 +31,7 @@
 
     __slots__ = (
         "context",
-        "board",
+        "switchboard",
         "log",
         "groups",
         "loaded",
@@ -41,9 +41,9 @@
         "counts",
     )
 
-    def __init__(self, context, board, log):
+    def __init__(self, context, switchboard, log):
         self.context = context
-        self.board = board
+        self.switchboard = switchboard
         self.log = log
         self.groups = {}
         self.loaded = False
@@ -59,7 +59,7 @@
             (wire.SESSION_LEARN, self.on_learn),
             (wire.SESSION_READY, self.on_ready),
         ):
-            board.on(kind, handler)
+            switchboard.on(kind, handler)
         context.disk(log.load, self.on_loaded)
 
     def on_loaded(self, rows, failure):
@@ -130,9 +130,9 @@
             if version < group.version:
                 continue
             group.version, group.members, group.before = version, tuple(members), tuple(before)
-            if self.board.address in members and group.learned_version < version:
+            if self.switchboard.address in members and group.learned_version < version:
                 self.learn(name)
-            elif self.board.address not in members and not before:
+            elif self.switchboard.address not in members and not before:
                 group.records = {}
 
     def learn(self, name):
@@ -143,7 +143,7 @@
         if (
             group.learning
             or group.learned_version >= group.version
-            or self.board.address not in group.members
+            or self.switchboard.address not in group.members
         ):
             return
         version = group.version
@@ -154,8 +154,8 @@
         least = version - 1 if group.before else version
         group.learning = True
         got, waiting = [], set(peers)
-        if self.board.address in peers:
-            waiting.discard(self.board.address)
+        if self.switchboard.address in peers:
+            waiting.discard(self.switchboard.address)
             if group.learned_version >= least:
                 got.append({})
 
@@ -174,7 +174,7 @@
 
         deadline_ms = self.context.settings.bounds.contact_ms * RETRY_SHARE
         for peer in list(waiting):
-            self.board.call(
+            self.switchboard.call(
                 peer,
                 wire.SESSION_LEARN,
                 [name, version],
@@ -243,7 +243,7 @@
             or group.version != version
             or group.learned_version != version
             or group.sealed > version
-            or self.board.address not in group.members
+            or self.switchboard.address not in group.members
             or group.before == (FRESH,)
         ):
             return None
@@ -334,7 +334,7 @@
             ]
         )
 
-    def stand(self):
+    def status(self):
         """Counts for the tools; no names of sessions."""
         requests = [
             entry
@@ -353,6 +353,6 @@
                     "learned": group.learned_version >= group.version,
                 }
                 for name, group in self.groups.items()
-                if self.board.address in group.members
+                if self.switchboard.address in group.members
             },
         }
--- a/stagevale/ballots/__init__.py
+++ b/stagevale/ballots/__init__.py
@@ -26,7 +26,7 @@
     def __init__(self):
         self.promised = {}
 
-    def canvass(self, duty, ballot):
+    def promise(self, duty, ballot):
         """Promises `ballot` if it is the highest seen; returns whether, and the highest."""
         if ballot >= self.promised.get(duty, NO_BALLOT):
             self.promised[duty] = ballot
@@ -47,10 +47,10 @@
         self.highest = ballot
         self.over = False
 
-    def count(self, peer, promised, highest, word=None):
+    def count(self, peer, promised, highest, detail=None):
         """Counts an answer."""
         if promised:
-            self.yes[peer] = word
+            self.yes[peer] = detail
         else:
             self.no.add(peer)
             if highest > self.highest:
--- a/stagevale/configuration/node.py
+++ b/stagevale/configuration/node.py
@@ -46,8 +46,8 @@
 
     read_value = staticmethod(read_value)
 
-    def __init__(self, context, board, membership, storage):
-        super().__init__(context, board, membership, storage)
+    def __init__(self, context, switchboard, membership, storage):
+        super().__init__(context, switchboard, membership, storage)
         self.leases = OutstandingLeases(context)
         self.rollouts = RolloutTending(self)
         self.sessions = SessionGroups(self)
@@ -134,10 +134,10 @@
         for members in regions.values():
             members.sort(key=lambda member: member.machine != self.membership.me.machine)
             rest = [member.address for member in members[1:]]
-            self.board.cast(members[0].address, wire.CHOSEN, [value.packed, rest])
+            self.switchboard.send(members[0].address, wire.CHOSEN, [value.packed, rest])
         for address in self.acceptor.vote.peers:
             if address not in self.membership.state.members:
-                self.board.cast(address, wire.CHOSEN, [value.packed, []])
+                self.switchboard.send(address, wire.CHOSEN, [value.packed, []])
 
 
 def narrows(order, before, after):
--- a/stagevale/configuration/session_groups.py
+++ b/stagevale/configuration/session_groups.py
@@ -89,7 +89,7 @@
                 node.context.after(node.call_ms * SETTLE_SHARE, self.settle)
 
         for peer in group:
-            node.board.call(
+            node.switchboard.call(
                 peer,
                 wire.SESSION_READY,
                 [name, version],
--- a/stagevale/duties/node.py
+++ b/stagevale/duties/node.py
@@ -86,8 +86,8 @@
         "last_sent",
     )
 
-    def __init__(self, context, board, membership, storage, ledger, true_time):
-        super().__init__(context, board, membership, storage)
+    def __init__(self, context, switchboard, membership, storage, ledger, true_time):
+        super().__init__(context, switchboard, membership, storage)
         self.beat_ms = context.settings.bounds.contact_ms / 2.0
         self.ledger = ledger
         self.true_time = true_time
@@ -101,7 +101,7 @@
         self.collect_at_ms = 0.0
         self.acted_ms = -1e12
         self.barred_ms = -1e12
-        board.on(wire.COUNTS_WANTED, self.on_counts_wanted)
+        switchboard.on(wire.COUNTS_WANTED, self.on_counts_wanted)
 
     # holding
 
@@ -125,9 +125,9 @@
             member.address for member in self.membership.others() if member.program == self.program
         ]
 
-    def may_stand(self):
+    def may_campaign(self):
         """Not for a while after the platform has fenced this daemon off."""
-        return super().may_stand() and self.context.now_ms() >= self.barred_ms
+        return super().may_campaign() and self.context.now_ms() >= self.barred_ms
 
     def on_confirm(self, message, answer):
         """The holder's question to its voters is a sign of its life too."""
@@ -209,11 +209,11 @@
 
     def watch(self):
         """Stands for the duty once its holder has been silent for too long."""
-        if not self.is_voter() or not self.may_stand():
+        if not self.is_voter() or not self.may_campaign():
             return
         rank = self.group().index(self.acceptor.vote.voter)
         if self.election.silent_ms() > self.patience_ms(rank):
-            self.election.stand()
+            self.election.campaign()
 
     def next_window(self):
         """The window to be chosen next; None before the first was ever counted."""
@@ -251,7 +251,7 @@
             self.resolve_twice(window, answers, twice, len(holders), not silent)
 
         for peer in peers:
-            self.board.call(
+            self.switchboard.call(
                 peer,
                 wire.COUNTS_WANTED,
                 [window, 0],
@@ -278,7 +278,7 @@
                 self.counted(window, answers, rows, proxies, whole)
 
         for peer in twice:
-            self.board.call(
+            self.switchboard.call(
                 peer,
                 wire.COUNTS_WANTED,
                 [window, 1],
@@ -421,7 +421,7 @@
             self.barred_ms = now_ms + bounds.lease_ms * 1.25
             self.step_down("the platform has seen a higher fence")
 
-    def stand(self):
+    def status(self):
         """What this registry knows of the duty, for the tools."""
         value = self.chosen or self.acceptor.accepted
         true_ms = self.true_time.now()
--- a/stagevale/programs/__init__.py
+++ b/stagevale/programs/__init__.py
@@ -20,7 +20,7 @@
 class Daemon:
     """One running program; `begin` starts its parts, `end` asks for an end in order."""
 
-    __slots__ = ("context", "board", "membership", "program", "path", "stamp", "ending")
+    __slots__ = ("context", "switchboard", "membership", "program", "path", "stamp", "ending")
 
     def __init__(self, context, program, port_offset, path):
         settings = context.settings
@@ -31,13 +31,13 @@
         self.ending = False
         address = f"{settings.ip}:{settings.inner_ports[0] + port_offset}"
         front = settings.listen.get("front")
-        self.board = Switchboard(context, address)
+        self.switchboard = Switchboard(context, address)
         self.membership = Membership(
             context, address, program, f"{front[0]}:{front[1]}" if front else ""
         )
 
     def begin(self):
-        self.board.start()
+        self.switchboard.start()
         self.membership.start()
         self.context.after(1000, self.watch_settings)
 
--- a/stagevale/programs/proxy.py
+++ b/stagevale/programs/proxy.py
@@ -39,7 +39,9 @@
 
     def __init__(self, context, path):
         super().__init__(context, "proxy", 0, path)
-        self.forwarder = Forwarder(context, self.board.address, EndpointConnection, HOP_HEADERS)
+        self.forwarder = Forwarder(
+            context, self.switchboard.address, EndpointConnection, HOP_HEADERS
+        )
         self.targets = {}
         self.feeder = None
         self.feeder_heard_ms = 0.0
@@ -66,12 +68,12 @@
         )
         self.membership.serial_hook = self.serial_heard
         self.membership.change_hooks.append(self.members_changed)
-        self.board.on(wire.FEED, self.on_feed)
-        self.board.on(wire.FEED_PING, self.on_feed_ping)
-        self.board.on(wire.LEASE, self.on_lease)
+        self.switchboard.on(wire.FEED, self.on_feed)
+        self.switchboard.on(wire.FEED_PING, self.on_feed_ping)
+        self.switchboard.on(wire.LEASE, self.on_lease)
         self.asking = False
         self.asks = 0
-        self.board.lost_hooks.append(self.connection_lost)
+        self.switchboard.lost_hooks.append(self.connection_lost)
 
     def begin(self):
         super().begin()
@@ -177,7 +179,7 @@
                 and self.subscribed
                 and (best in table and self.feeder not in table or not table and self.nearer(best))
             ):
-                self.board.cast(self.feeder, wire.UNSUBSCRIBE, [])
+                self.switchboard.send(self.feeder, wire.UNSUBSCRIBE, [])
                 self.feeder = best
                 self.feeder_heard_ms = now_ms
                 self.subscribe(self.forwarder.snapshot.serial, True)
@@ -219,7 +221,7 @@
                 report += [{}] * (5 - len(report)) + [self.forwarder.chooser.steering.rows(now_ms)]
             self.reported_ms = now_ms
         table = self.forwarder.snapshot.partners
-        self.board.cast(
+        self.switchboard.send(
             self.feeder,
             wire.SUBSCRIBE,
             [
@@ -239,7 +241,7 @@
         counts = self.forwarder.counts
         if counts is None or counts.offset_ms is None or self.feeder is None:
             return
-        self.board.cast(
+        self.switchboard.send(
             self.feeder,
             wire.USAGE,
             [self.life, counts.true_ms(self.context.now_ms()), counts.rows(everything)],
@@ -250,7 +252,7 @@
         self.shunned[self.feeder] = self.context.now_ms() + self.interval_ms * 4
         feeder, self.feeder = self.feeder, None
         self.subscribed = False
-        self.board.hang_up(feeder)
+        self.switchboard.hang_up(feeder)
 
     def connection_lost(self, peer):
         if peer == self.feeder:
@@ -259,22 +261,22 @@
     def on_feed_ping(self, peer, body, reply):
         serial, contact, *clock = body
         if peer != self.feeder:
-            self.board.cast(peer, wire.UNSUBSCRIBE, [])
+            self.switchboard.send(peer, wire.UNSUBSCRIBE, [])
             return
         self.feeder_heard_ms = self.context.now_ms()
         self.subscribed = True
         if clock and self.forwarder.counts is not None:
             self.forwarder.counts.told(clock[0], self.feeder_heard_ms)
         if not contact:
-            self.board.cast(peer, wire.UNSUBSCRIBE, [])
+            self.switchboard.send(peer, wire.UNSUBSCRIBE, [])
             self.change_feeder("it is out of touch with the core")
             return
         if serial > self.forwarder.snapshot.serial:
-            self.board.cast(peer, wire.PULL, [self.forwarder.snapshot.serial])
+            self.switchboard.send(peer, wire.PULL, [self.forwarder.snapshot.serial])
 
     def serial_heard(self, sender, serial):
         if self.feeder is not None and serial > self.forwarder.snapshot.serial:
-            self.board.cast(self.feeder, wire.PULL, [self.forwarder.snapshot.serial])
+            self.switchboard.send(self.feeder, wire.PULL, [self.forwarder.snapshot.serial])
 
     def on_feed(self, peer, body, reply):
         """News from a feeder: the register's value, lives, or both."""
@@ -308,7 +310,7 @@
             from stagevale.affinity.holding import Holdings
 
             self.forwarder.holdings = Holdings(
-                self.context, self.board, self.forwarder, self.membership
+                self.context, self.switchboard, self.forwarder, self.membership
             )
         if (snapshot.partners.rows or snapshot.rollouts) and not self.asking:
             self.asking = True
@@ -341,7 +343,7 @@
                     if self.forwarder.outcomes
                     else [],
                 ]
-            self.board.cast(
+            self.switchboard.send(
                 self.feeder, wire.LEASE_WANTED, [lease.ask(self.context.now_ms()), *told]
             )
 
@@ -349,7 +351,7 @@
         ask_no, newest = body
         self.forwarder.lease.granted(ask_no, newest, self.forwarder.snapshot.serial)
         if newest > self.forwarder.snapshot.serial and peer == self.feeder:
-            self.board.cast(peer, wire.PULL, [self.forwarder.snapshot.serial])
+            self.switchboard.send(peer, wire.PULL, [self.forwarder.snapshot.serial])
         self.forwarder.pump_all()
 
     def taken_back(self, zone, snapshot, now_ms):
--- a/stagevale/programs/registry.py
+++ b/stagevale/programs/registry.py
@@ -12,7 +12,7 @@
 from stagevale.programs import Daemon
 from stagevale.register.storage import VoteStorage
 from stagevale.registrations.calls import CallConnection, dispatcher
-from stagevale.registrations.desk import Desk
+from stagevale.registrations.service import RegistryService
 
 TTL_SHARE = 0.8
 SHORTEST_END_SHARE = 0.4
@@ -23,15 +23,15 @@
 class Registry(Daemon):
     """The daemon beside the store on a core machine that all calls from outside come to."""
 
-    __slots__ = ("desk", "dispatch", "duties", "unseated")
+    __slots__ = ("service", "dispatch", "duties", "unseated")
 
     def __init__(self, context, path):
         super().__init__(context, "registry", 0, path)
         bounds = context.settings.bounds
-        self.desk = Desk(context, self.board, self.membership)
+        self.service = RegistryService(context, self.switchboard, self.membership)
         self.duties = None
         self.unseated = True
-        self.dispatch = dispatcher(context, self.desk, bounds.ttl_max_s * TTL_SHARE)
+        self.dispatch = dispatcher(context, self.service, bounds.ttl_max_s * TTL_SHARE)
         self.membership.placer = lambda members, table, moves: place(
             members, table, moves, context.settings.zones
         )
@@ -43,12 +43,12 @@
         if folder:
             folder = os.path.join(folder, "registry")
             os.makedirs(folder, exist_ok=True)
-            self.desk.remember(self.open_disk(folder))
+            self.service.load_hints(self.open_disk(folder))
             if USAGE_DUTY in self.context.settings.duties:
                 self.take_part(
                     VoteStorage(NumberedTables(Folder(self.duties_folder())), read_duty_value)
                 )
-        self.desk.start()
+        self.service.start()
         for name in ("control", "directory"):
             address = self.context.settings.listen.get(name)
             if address:
@@ -63,11 +63,13 @@
         """Takes part in the duties at the platform; without any in the settings this costs
         nothing.
         """
-        desk = self.desk
-        desk.true_time = TrueTime(self.context, desk.core_size)
-        desk.ledger = Ledger(self.context.settings.bounds, lambda: list(desk.subscribers))
-        self.duties = desk.duties = DutyNode(
-            self.context, self.board, self.membership, disk, desk.ledger, desk.true_time
+        service = self.service
+        service.true_time = TrueTime(self.context, service.core_size)
+        service.ledger = Ledger(
+            self.context.settings.bounds, lambda: list(service.feeding.subscribers)
+        )
+        self.duties = service.duties = DutyNode(
+            self.context, self.switchboard, self.membership, disk, service.ledger, service.true_time
         )
         self.duties.start()
 
@@ -78,14 +80,14 @@
         """Leaves in order: hands its parts, its seat in the duties' register and its session
         records over, then ends.
         """
-        self.desk.stopping = True
+        self.service.stopping = True
         if self.duties is not None:
             self.unseated = False
             self.duties.hand_over(self.now_unseated)
         self.membership.leave()
-        for part in list(self.desk.owners):
-            if self.desk.owners[part][0] == self.board.address:
-                del self.desk.owners[part]
+        for part in list(self.service.part_owners.owners):
+            if self.service.part_owners.owners[part][0] == self.switchboard.address:
+                del self.service.part_owners.owners[part]
         grace_ms = self.context.settings.bounds.grace_period_s * 1000.0
         self.context.after(grace_ms * LONGEST_END_SHARE, self.finish)
         self.context.after(grace_ms * SHORTEST_END_SHARE, self.finish_when_released)
@@ -95,9 +97,9 @@
 
     def keeps_sessions(self):
         """True while this registry is in a session group, or others still learn from it."""
-        value = self.desk.value
+        value = self.service.register.value
         return value is not None and any(
-            self.board.address in (*members, *before)
+            self.switchboard.address in (*members, *before)
             for _, members, before in value.sessions.values()
         )
 
--- a/stagevale/programs/store.py
+++ b/stagevale/programs/store.py
@@ -20,7 +20,7 @@
 
     def __init__(self, context, path):
         super().__init__(context, "store", 1, path)
-        self.node = ConfigurationNode(context, self.board, self.membership, self.storage())
+        self.node = ConfigurationNode(context, self.switchboard, self.membership, self.storage())
         self.membership.placer = lambda members, table, moves: place(
             members, table, moves, context.settings.zones
         )
--- a/stagevale/register/acceptor.py
+++ b/stagevale/register/acceptor.py
@@ -143,7 +143,7 @@
         ballot = message.ballot
         self.changed(promised=ballot)
         self.node.overruled(ballot, "a higher ballot was promised")
-        self.node.election.believe(ballot)
+        self.node.election.note_leader(ballot)
 
         def saved(done):
             vote = self.vote
--- a/stagevale/register/election.py
+++ b/stagevale/register/election.py
@@ -3,7 +3,7 @@
 from stagevale.ballots import NO_BALLOT, Round
 from stagevale.register.messages import LeaderInfo, Poll, PollAnswer, Prepare, Promise, Resigned
 from stagevale.register.voters import address_of
-from stagevale.wire import POLL, PREPARE, RESIGNED, WHO_OWNS
+from stagevale.wire import POLL, PREPARE, RESIGNED, WHO_LEADS
 
 LEADER_KNOWN_BEATS = 2.2
 LEADER_HEARD_BEATS = 1.4
@@ -30,7 +30,7 @@
 
     # who leads
 
-    def believe(self, ballot):
+    def note_leader(self, ballot):
         """Takes the holder of a ballot for the leader, from now until it has been silent for too
         long.
         """
@@ -98,14 +98,14 @@
             if refused or (answer is not None and not answer.known):
                 self.forget()
 
-        self.node.ask(peer, WHO_OWNS, None, LeaderInfo, answered)
+        self.node.ask(peer, WHO_LEADS, None, LeaderInfo, answered)
 
     # standing
 
-    def stand(self):
+    def campaign(self):
         """Polls the group and, where a majority would promise, runs for the leadership."""
         node = self.node
-        if self.running or not node.may_stand():
+        if self.running or not node.may_campaign():
             return
         self.running = True
         group = node.group()
@@ -172,7 +172,7 @@
                 running.over = True
                 self.running = False
                 if running.highest > ballot:
-                    self.believe(running.highest)
+                    self.note_leader(running.highest)
                 node.unelected()
 
         for voter in group:
@@ -187,7 +187,7 @@
         if found is not None and set(found.group) != set(group):
             node.adopt(found, found_ballot)
             node.context.log.info("%s: the group has changed; asking the new one.", node.prefix)
-            node.context.after(1, self.stand)
+            node.context.after(1, self.campaign)
             return
         if node.acceptor.vote.promised > ballot:
             node.unelected()
@@ -212,7 +212,7 @@
         self.forget()
         for voter in group:
             if address_of(voter) != node.address:
-                node.cast(address_of(voter), RESIGNED, Resigned(ballot))
+                node.notify(address_of(voter), RESIGNED, Resigned(ballot))
 
     def on_resigned(self, message):
         """The leader has resigned: the voters stand one after the other, without waiting."""
@@ -225,11 +225,11 @@
         if node.acceptor.vote.voter not in group:
             return
 
-        def stand():
+        def campaign():
             if self.leader_ballot == message.ballot and self.heard_ms == SILENT_MS:
-                self.stand()
+                self.campaign()
 
         turn = [v for v in group if address_of(v) != leader_address(message.ballot)].index(
             node.acceptor.vote.voter
         )
-        node.context.after(node.call_ms * 0.3 * turn, stand)
+        node.context.after(node.call_ms * 0.3 * turn, campaign)
--- a/stagevale/register/node.py
+++ b/stagevale/register/node.py
@@ -40,7 +40,7 @@
 
     __slots__ = (
         "context",
-        "board",
+        "switchboard",
         "membership",
         "address",
         "life",
@@ -59,12 +59,12 @@
         "known_group",
     )
 
-    def __init__(self, context, board, membership, storage):
+    def __init__(self, context, switchboard, membership, storage):
         bounds = context.settings.bounds
         self.context = context
-        self.board = board
+        self.switchboard = switchboard
         self.membership = membership
-        self.address = board.address
+        self.address = switchboard.address
         self.life = f"{context.random.getrandbits(32):08x}"
         self.beat_ms = bounds.contact_ms / BEATS_PER_CONTACT
         self.call_ms = bounds.ack_deadline_ms / CALLS_PER_ACK_DEADLINE
@@ -89,15 +89,15 @@
         self.on(wire.ACCEPT, Accept, acceptor.accept)
         self.on(wire.CONFIRM, Confirm, self.on_confirm)
         self.on(wire.RESIGNED, Resigned, lambda message, _: self.election.on_resigned(message))
-        self.board.on(self.kinds + wire.BEACON, self.on_beacon)
-        self.board.on(
+        self.switchboard.on(self.kinds + wire.BEACON, self.on_beacon)
+        self.switchboard.on(
             self.kinds + wire.LEAVE_GROUP,
             lambda peer, body, reply: self.reconfiguration.on_leave(Leave.read(body), reply),
         )
-        self.board.on(self.kinds + wire.WHO_OWNS, self.on_who_leads)
-        self.board.on(self.kinds + wire.ORDER, self.orders.on_order)
-        self.board.on(self.kinds + wire.READ_VALUE, self.orders.on_read_value)
-        self.board.lost_hooks.append(self.election.connection_lost)
+        self.switchboard.on(self.kinds + wire.WHO_LEADS, self.on_who_leads)
+        self.switchboard.on(self.kinds + wire.ORDER, self.orders.on_order)
+        self.switchboard.on(self.kinds + wire.READ_VALUE, self.orders.on_read_value)
+        self.switchboard.lost_hooks.append(self.election.connection_lost)
 
     def on(self, kind, message_type, handler):
         """Sets the handler(message, answer) of a kind; a misshapen message is told with its sender."""
@@ -109,7 +109,7 @@
                 raise wire.WireFailure(f"{self.prefix} message", peer, str(failure)) from None
             handler(message, lambda answer: reply(answer.fields()))
 
-        self.board.on(self.kinds + kind, handle)
+        self.switchboard.on(self.kinds + kind, handle)
 
     def ask(self, peer, kind, message, answer_type, done, deadline_ms=None):
         """Puts a question to a daemon; `done(answer or None, failure or None)` once."""
@@ -125,7 +125,7 @@
                     self.context.log.warning("%s: %s from %s.", self.prefix, failure, peer)
             done(answer, failure)
 
-        self.board.call(peer, self.kinds + kind, body, deadline_ms or self.call_ms, answered)
+        self.switchboard.call(peer, self.kinds + kind, body, deadline_ms or self.call_ms, answered)
 
     def ask_voter(self, voter, kind, message, answer_type, done):
         """Puts a question to a voter; `done(voter, answer or None, failure or None)` once."""
@@ -137,8 +137,8 @@
             lambda answer, failure: done(voter, answer, failure),
         )
 
-    def cast(self, address, kind, message):
-        self.board.cast(address, self.kinds + kind, message.fields())
+    def notify(self, address, kind, message):
+        self.switchboard.send(address, self.kinds + kind, message.fields())
 
     # life
 
@@ -167,7 +167,7 @@
         if self.acceptor.accepted is None and rank == 0:
             patience_ms = 0.0
         if self.election.silent_ms() > patience_ms:
-            self.election.stand()
+            self.election.campaign()
 
     def patience_ms(self, rank):
         """How long the leader may be silent before this voter stands."""
@@ -201,7 +201,7 @@
     def is_voter(self):
         return self.acceptor.loaded and self.acceptor.vote.voter in self.group()
 
-    def may_stand(self):
+    def may_campaign(self):
         """True where this daemon may run for the leadership."""
         return self.is_voter() and not self.stopping and self.ballot is None
 
@@ -316,7 +316,7 @@
         if message.group_mark != group_mark(self.known_group):
             self.ask(
                 leader_address(message.ballot),
-                wire.WHO_OWNS,
+                wire.WHO_LEADS,
                 None,
                 LeaderInfo,
                 self.got_leader_info,
--- a/stagevale/register/orders.py
+++ b/stagevale/register/orders.py
@@ -3,13 +3,14 @@
 from stagevale.ballots import NO_BALLOT
 from stagevale.register.messages import LeaderInfo
 from stagevale.register.voters import address_of
-from stagevale.wire import ORDER, READ_VALUE, WHO_OWNS
+from stagevale.wire import ORDER, READ_VALUE, WHO_LEADS
 from stagevale.wire.switchboard import LATE
 
 EXPIRY_CALLS = 1.8
 PASS_ON_CALLS = 0.8
 FIND_CALLS = 0.3
 SLOW_LEADER_BEATS = 1.3
+ORDER_BYTES_PER_MS = 100.0
 READ_WHOLE = "value"
 UNAVAILABLE = 503
 
@@ -50,7 +51,8 @@
         if node.context.stalled():
             reply([UNAVAILABLE, "this daemon stood still; ask again"])
             return
-        expires_ms = node.context.now_ms() + node.call_ms * EXPIRY_CALLS
+        large_ms = len(payload) / ORDER_BYTES_PER_MS
+        expires_ms = node.context.now_ms() + node.call_ms * EXPIRY_CALLS + large_ms
         order = Order(name, payload, reply, expires_ms)
         if node.ballot is not None:
             self.waiting.append(order)
@@ -72,7 +74,7 @@
     def hold(self, order):
         """Keeps an order until there is a leader, or its time is over."""
         self.waiting.append(order)
-        self.node.context.after(self.node.call_ms * EXPIRY_CALLS, self.expire)
+        self.node.context.after(order.expires_ms - self.node.context.now_ms(), self.expire)
 
     def route(self, order):
         """Passes an order on to the leader, once that is known."""
@@ -82,7 +84,7 @@
             return
         self.hold(order)
         if self.node.is_voter():
-            self.node.election.stand()
+            self.node.election.campaign()
         else:
             self.find_leader(self.pump)
 
@@ -111,7 +113,7 @@
         for peer in list(silent):
             node.ask(
                 peer,
-                WHO_OWNS,
+                WHO_LEADS,
                 None,
                 LeaderInfo,
                 lambda answer, failure, peer=peer: heard(peer, answer),
@@ -142,7 +144,9 @@
             kind, body = READ_VALUE, [True]
         else:
             kind, body = ORDER, [order.name, order.payload, True]
-        node.board.call(leader, node.kinds + kind, body, node.call_ms * PASS_ON_CALLS, answered)
+        node.switchboard.call(
+            leader, node.kinds + kind, body, node.call_ms * PASS_ON_CALLS, answered
+        )
 
     def expire(self):
         """Refuses the orders whose time is over."""
@@ -178,7 +182,7 @@
             for order in waiting:
                 self.pass_on(leader, order)
         elif node.is_voter():
-            node.election.stand()
+            node.election.campaign()
 
 
 def voter_addresses(group, own_address):
--- a/stagevale/register/reconfiguration.py
+++ b/stagevale/register/reconfiguration.py
@@ -167,7 +167,7 @@
                 self.avoid_until_ms[address] = node.context.now_ms() + node.beat_ms * AVOID_BEATS
                 if answer is not None and answer.promised > ballot:
                     node.replication.superseded(ballot, address, answer.promised)
-                    node.election.stand()
+                    node.election.campaign()
                 return
             if node.busy or node.chosen.group != value.group:
                 return
@@ -215,7 +215,7 @@
             if leader is None or leader == node.address:
                 self.find_leader(ask)
                 return
-            node.board.call(
+            node.switchboard.call(
                 leader, node.kinds + LEAVE_GROUP, Leave(voter).fields(), node.call_ms * 2, answered
             )
 
--- a/stagevale/register/replication.py
+++ b/stagevale/register/replication.py
@@ -180,7 +180,7 @@
         chosen = node.chosen
         message = Beacon(node.ballot, chosen.serial, group_mark(chosen.group))
         for address in node.audience():
-            node.cast(address, BEACON, message)
+            node.notify(address, BEACON, message)
 
 
 def group_mark(group):
--- a/stagevale/registrations/calls.py
+++ b/stagevale/registrations/calls.py
@@ -191,7 +191,7 @@
     return table
 
 
-def dispatcher(context, desk, ttl_s):
+def dispatcher(context, service, ttl_s):
     """The dispatch for one registry: every call from outside comes through here."""
     zones = context.settings.zones
 
@@ -205,17 +205,19 @@
             if not shape[1] or len(shape[1]) > 200:
                 return answer(400, {"error": "id: want a text"})
             if shape[2] == "leave":
-                return desk.leave(shape[1], answer)
+                return service.intake.leave(shape[1], answer)
             try:
                 table = read_beat(body)
             except Failure as failure:
                 return answer(400, {"error": str(failure)})
-            return desk.beat(shape[1], table, answer)
+            return service.intake.beat(shape[1], table, answer)
         if shape == ("resolve",):
             if method != "GET":
                 return answer(405, {"error": "want GET"})
             asked = parse_qs(query)
-            fronts = desk.resolve(asked.get("zone", [""])[0], asked.get("region", [""])[0])
+            fronts = service.feeding.resolve(
+                asked.get("zone", [""])[0], asked.get("region", [""])[0]
+            )
             if not fronts:
                 return answer(503, {"error": "no front is ready"})
             return answer(200, {"addresses": fronts[:64], "ttlS": ttl_s})
@@ -226,11 +228,11 @@
                 text = body.decode()
             except UnicodeDecodeError:
                 return answer(400, {"error": "the body is not UTF-8"})
-            return desk.order("replace", text, ordered(answer))
+            return service.register.order("replace", text, ordered(answer))
         if shape == ("config", "read"):
             if method != "GET":
                 return answer(405, {"error": "want GET"})
-            return desk.order("read", "", ordered(answer))
+            return service.register.order("read", "", ordered(answer))
         if shape[:1] == ("partners",):
             return partner_call(method, shape[1:], query, body, answer)
         if shape[:1] == ("rollouts",):
@@ -240,17 +242,17 @@
                 return answer(405, {"error": "want GET"})
             if not shape[1] or len(shape[1]) > 256:
                 return answer(400, {"error": "session: want a text of at most 256 bytes"})
-            return desk.show_session(shape[1], answer)
+            return service.views.show_session(shape[1], answer)
         if shape == ("stand",):
             if method != "GET":
                 return answer(405, {"error": "want GET"})
-            return answer(200, desk.stand())
+            return answer(200, service.status())
         if len(shape) == 3 and shape[0] == "evacuation" and shape[2] in ("begin", "finish"):
             if method != "POST":
                 return answer(405, {"error": "want POST"})
             if shape[1] not in zones:
                 return answer(404, {"error": f"no zone {shape[1]}"})
-            return desk.order(
+            return service.register.order(
                 "evacuate" if shape[2] == "begin" else "takeBack", shape[1], ordered(answer)
             )
         return answer(404, {"error": "no such call"})
@@ -259,13 +261,17 @@
         if shape in ((), ("explain",)):
             if method != "GET":
                 return answer(405, {"error": "want GET"})
-            return desk.explain(parse_qs(query), answer) if shape else desk.partner_table(answer)
+            return (
+                service.views.explain(parse_qs(query), answer)
+                if shape
+                else service.views.partner_table(answer)
+            )
         if len(shape) != 2 or shape[1] != "offer":
             return answer(404, {"error": "no such call"})
         if method == "GET":
-            return desk.order("readOffer", shape[0], ordered(answer))
+            return service.register.order("readOffer", shape[0], ordered(answer))
         if method == "DELETE":
-            return desk.order("withdraw", shape[0], ordered(answer))
+            return service.register.order("withdraw", shape[0], ordered(answer))
         if method != "PUT":
             return answer(405, {"error": "want PUT, GET or DELETE"})
         if len(body) > OFFER_BYTES:
@@ -276,7 +282,7 @@
             return answer(400, {"error": "the body is not UTF-8"})
         if "\n" in shape[0]:
             return answer(400, {"error": "partner: want a name of letters, digits, dots, dashes"})
-        return desk.order("offer", f"{shape[0]}\n{text}", ordered(answer))
+        return service.register.order("offer", f"{shape[0]}\n{text}", ordered(answer))
 
     def rollout_call(method, shape, body, answer):
         if len(shape) > 2 or "\n" in "".join(shape):
@@ -286,20 +292,20 @@
                 return answer(404, {"error": "no such call"})
             if method != "POST":
                 return answer(405, {"error": "want POST"})
-            return desk.order("moveRollout", f"{shape[0]}\n{shape[1]}", ordered(answer))
+            return service.register.order("moveRollout", f"{shape[0]}\n{shape[1]}", ordered(answer))
         if method == "GET":
-            return desk.show_rollouts(shape[0] if shape else "", answer)
+            return service.views.show_rollouts(shape[0] if shape else "", answer)
         if not shape or method not in ("PUT", "DELETE"):
             return answer(405, {"error": "want PUT, GET or DELETE" if shape else "want GET"})
         if method == "DELETE":
-            return desk.order("moveRollout", f"{shape[0]}\nend", ordered(answer))
+            return service.register.order("moveRollout", f"{shape[0]}\nend", ordered(answer))
         if len(body) > ROLLOUT_BYTES:
             return answer(413, {"error": f"a rollout over {ROLLOUT_BYTES} bytes"})
         try:
             text = body.decode()
         except UnicodeDecodeError:
             return answer(400, {"error": "the body is not UTF-8"})
-        return desk.start_rollout(shape[0], text, ordered(answer))
+        return service.views.start_rollout(shape[0], text, ordered(answer))
 
     def ordered(answer):
         def give(status, text):
--- a/stagevale/wire/switchboard.py
+++ b/stagevale/wire/switchboard.py
@@ -11,10 +11,18 @@
 class PeerConnection(asyncio.Protocol):
     """One TCP connection to or from a peer; frames in, frames out."""
 
-    __slots__ = ("board", "peer", "transport", "buffer", "dialled", "waiting", "ready_to_send")
+    __slots__ = (
+        "switchboard",
+        "peer",
+        "transport",
+        "buffer",
+        "dialled",
+        "waiting",
+        "ready_to_send",
+    )
 
-    def __init__(self, board, peer, dialled):
-        self.board = board
+    def __init__(self, switchboard, peer, dialled):
+        self.switchboard = switchboard
         self.peer = peer
         self.dialled = dialled
         self.transport = None
@@ -26,7 +34,7 @@
         self.transport = transport
         if self.dialled:
             self.ready_to_send = True
-            self.write(wire.pack([wire.HELLO, 0, self.board.address]))
+            self.write(wire.pack([wire.HELLO, 0, self.switchboard.address]))
             for data in self.waiting:
                 self.write(data)
             self.waiting = []
@@ -46,7 +54,7 @@
         while len(self.buffer) >= 4:
             size = struct.unpack_from("!I", self.buffer)[0]
             if size > wire.MAX_FRAME_BYTES:
-                self.board.context.log.warning(
+                self.switchboard.context.log.warning(
                     "wire: a frame of %d bytes from %s, connection closed.", size, self.peer
                 )
                 self.transport.abort()
@@ -57,13 +65,15 @@
             del self.buffer[: 4 + size]
             try:
                 message = wire.unpack(frame, "frame", self.peer)
-                self.board.arrived(self, message)
+                self.switchboard.arrived(self, message)
             except wire.WireFailure as failure:
-                self.board.context.log.warning("wire: unreadable: %s, connection closed.", failure)
+                self.switchboard.context.log.warning(
+                    "wire: unreadable: %s, connection closed.", failure
+                )
                 self.transport.abort()
                 return
             except (ValueError, TypeError, IndexError, KeyError, AttributeError) as failure:
-                self.board.context.log.warning(
+                self.switchboard.context.log.warning(
                     "wire: message from %s not understood: %r, connection closed.",
                     self.peer,
                     failure,
@@ -72,7 +82,7 @@
                 return
 
     def connection_lost(self, failure):
-        self.board.lost(self, failure)
+        self.switchboard.lost(self, failure)
 
 
 class Call:
@@ -139,7 +149,7 @@
         )
         return connection
 
-    def cast(self, peer, kind, body):
+    def send(self, peer, kind, body):
         """Sends a message that wants no answer."""
         if peer != self.address:
             self.connection_to(peer).send(wire.pack([kind, 0, body]))
--- a/tests/register_model.py
+++ b/tests/register_model.py
@@ -161,7 +161,7 @@
             payload = (
                 "" if call.kind == "read" else payload_of(call.version, call.parent, call.host)
             )
-            registry.desk.order(call.kind, payload, answered)
+            registry.service.register.order(call.kind, payload, answered)
 
     def done(self, call, status, text):
         run = self.run
@@ -190,7 +190,7 @@
         self.back_ms = {}
         self.wiped_ms = {}
         world, fleet = self.world, self.fleet
-        assert world.until(lambda: len(fleet.owners()) == 1 and len(fleet.voters()) == 5, 30000)
+        assert world.until(lambda: len(fleet.leaders()) == 1 and len(fleet.voters()) == 5, 30000)
         first = Call("replace", 1, 0, "first.example", world.env.now)
         self.history.append(first)
         assert fleet.insist([0], "replace", payload_of(1, 0, "first.example"))[0] == 200
@@ -241,7 +241,7 @@
 
     def victim(self):
         """A machine; the leader's rather often."""
-        owners = self.fleet.owners()
+        owners = self.fleet.leaders()
         if owners and self.draw.random() < 0.4:
             return owners[0] - 1
         return self.draw.randrange(CORE)
@@ -257,7 +257,7 @@
         self.world.later(self.draw.uniform(300, 9000), self.world.join)
 
     def cut_leader(self):
-        owners = self.fleet.owners()
+        owners = self.fleet.leaders()
         if owners:
             rest = [f"10.0.0.{n + 1}" for n in range(CORE) if n != owners[0] - 1]
             self.world.cut([f"10.0.0.{owners[0]}"], rest)
--- a/tests/simworld.py
+++ b/tests/simworld.py
@@ -433,8 +433,8 @@
         logs = self.world.disks.setdefault("sessions " + ip, MemoryLog())
         daemon = Registry(SimContext(self.world, settings, f"registry-{number + 1}"), "/none")
         self.registries[number] = daemon
-        daemon.desk.open_log = lambda: logs
-        daemon.desk.remember(self.world.disks.setdefault("registry " + ip, MemoryDisk()))
+        daemon.service.open_log = lambda: logs
+        daemon.service.load_hints(self.world.disks.setdefault("registry " + ip, MemoryDisk()))
         if settings.duties:
             daemon.take_part(self.world.disks.setdefault("duties " + ip, MemoryDisk()))
         daemon.begin()
@@ -478,7 +478,7 @@
 
     def voters(self):
         """The numbers of the machines whose stores vote, as the leader has it."""
-        leader = self.owners()[0] - 1
+        leader = self.leaders()[0] - 1
         return [number_of(voter) for voter in self.stores[leader].chosen.group]
 
     def wipe(self, number):
@@ -501,7 +501,7 @@
             for daemon in self.daemons()
         )
 
-    def owners(self):
+    def leaders(self):
         return [
             number + 1
             for number, keeper in self.stores.items()
@@ -513,7 +513,7 @@
         came.
         """
         got = []
-        self.registries[number].desk.order(
+        self.registries[number].service.register.order(
             order, payload, lambda status, text: got.append((status, text))
         )
         self.world.until(lambda: got, wait_ms)
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -59,7 +59,7 @@
         self.fleet = Fleet(seed, proxies)
         self.world = self.fleet.world
         assert self.world.until(
-            lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 25000
+            lambda: len(self.fleet.leaders()) == 1 and self.fleet.formed(12 + proxies), 25000
         )
         assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
         self.runs, self.clients, self.work_ms, self.rule, self.number = [], [], 60, None, 0
@@ -85,7 +85,7 @@
         self.world.later(1500, self.beat, place, endpoint, seq + 1)
         for number in (place, (place + 1) % 6):
             if self.fleet.registries[number].context.alive:
-                self.fleet.registries[number].desk.take_in(
+                self.fleet.registries[number].service.intake.take_in(
                     endpoint.life(seq=seq), lambda status, body: None
                 )
                 return
@@ -221,17 +221,17 @@
 
 def test_routes_that_do_not_ask_pay_nothing():
     day = Crossing(seed=6)
-    calls = day.fleet.proxies[0].board.call_no
+    calls = day.fleet.proxies[0].switchboard.call_no
     assert day.answer(day.send(0, "k", path="/plain/x")) == "200"
-    assert day.fleet.proxies[0].board.call_no == calls
+    assert day.fleet.proxies[0].switchboard.call_no == calls
     assert day.answer(day.send(0, "k", session=None)) == "200"
-    assert day.fleet.proxies[0].board.call_no == calls
+    assert day.fleet.proxies[0].switchboard.call_no == calls
     fleet = Fleet(6, 1)
     plain = {**CONFIG, "routes": [route("/e/", "effectful", affinity=None)]}
     assert fleet.insist([0], "replace", json.dumps(plain), 20000)[0] == 200
     fleet.world.run(4000)
     assert fleet.proxies[0].forwarder.holdings is None
-    assert all(registry.desk.sessions is None for registry in fleet.registries.values())
+    assert all(registry.service.sessions is None for registry in fleet.registries.values())
 
 
 def test_records_of_a_route_with_homes_are_kept_only_there():
@@ -239,11 +239,13 @@
     assert day.answer(day.send(2, "k1", session="s7", path="/home/x")) == "200"
     day.world.run(500)
     for _number, registry in day.fleet.registries.items():
-        for name, group in registry.desk.sessions.groups.items():
+        for name, group in registry.service.sessions.groups.items():
             if name.startswith("a,b|") and group.records:
                 assert registry.membership.me.region in ("a", "b")
     groups = day.fleet.proxies[0].forwarder.snapshot.sessions
-    region_of = {r.board.address: r.membership.me.region for r in day.fleet.registries.values()}
+    region_of = {
+        r.switchboard.address: r.membership.me.region for r in day.fleet.registries.values()
+    }
     for name, (_, members, _) in groups.items():
         assert len(members) == 3
         assert {region_of[address] for address in members} == (
@@ -476,10 +478,10 @@
     assert day.answer(day.send(0, "k1", session="fan-7")) == "200"
     assert day.answer(day.send(1, "k2", session="fan-7")) == "200"
     shown = []
-    day.fleet.registries[2].desk.show_session(
+    day.fleet.registries[2].service.views.show_session(
         "fan-7", lambda status, body: shown.append((status, body))
     )
-    day.fleet.registries[2].desk.show_session(
+    day.fleet.registries[2].service.views.show_session(
         "nobody", lambda status, body: shown.append((status, body))
     )
     assert day.world.until(lambda: len(shown) == 2, 3000)
@@ -488,7 +490,7 @@
     assert record["holder"] == "10.0.1.2:7200" and [
         (j["key"], j["state"]) for j in record["requests"]
     ] == [("k1", "answered"), ("k2", "answered")]
-    stands = [registry.desk.stand()["sessions"] for registry in day.fleet.registries.values()]
+    stands = [registry.service.status()["sessions"] for registry in day.fleet.registries.values()]
     assert (
         sum(stand["handedOver"] for stand in stands) >= 2
         and sum(stand["noted"] for stand in stands) >= 4
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,7 +17,7 @@
     fleet = Fleet(seed, proxies, more, core)
     wanted = min(9, 2 * ((core - 1) // 2) + 1)
     assert fleet.world.until(
-        lambda: len(fleet.owners()) == 1 and len(fleet.voters()) == wanted, 60000
+        lambda: len(fleet.leaders()) == 1 and len(fleet.voters()) == wanted, 60000
     )
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
     return fleet
@@ -44,7 +44,7 @@
 def test_a_store_that_was_voted_out_leaves_the_confirmed_leader_alone():
     """It took the duty within ten seconds, outside its own group."""
     fleet = settled_fleet()
-    leader = fleet.owners()[0] - 1
+    leader = fleet.leaders()[0] - 1
     ballot = fleet.stores[leader].ballot
     out = next(number for number in fleet.voters() if number != leader)
     cut_off(fleet, [out])
@@ -53,22 +53,22 @@
     fleet.world.join()
     for _ in range(100):
         fleet.world.run(100)
-        assert fleet.owners() == [leader + 1] and fleet.stores[leader].ballot == ballot
+        assert fleet.leaders() == [leader + 1] and fleet.stores[leader].ballot == ballot
     assert not fleet.stores[out].is_voter() or out in fleet.voters()
 
 
 def test_a_store_that_was_voted_out_is_told_when_it_stands():
     fleet = settled_fleet()
-    leader = fleet.owners()[0] - 1
+    leader = fleet.leaders()[0] - 1
     out = next(number for number in fleet.voters() if number != leader)
     cut_off(fleet, [out])
     assert fleet.world.until(lambda: out not in fleet.voters(), 30000)
     fleet.world.join()
     stale = fleet.stores[out]
     stale.election.forget()
-    stale.election.stand()
+    stale.election.campaign()
     assert fleet.world.until(lambda: not stale.is_voter(), 3000)
-    assert fleet.owners() == [leader + 1]
+    assert fleet.leaders() == [leader + 1]
 
 
 # members that end in order
@@ -79,7 +79,7 @@
 def test_voters_that_end_in_order_one_after_the_other_leave_a_majority(gap_ms, leader_first):
     """Three of five left no majority unless they ended eight seconds apart."""
     fleet = settled_fleet(seed=3)
-    leader = fleet.owners()[0] - 1
+    leader = fleet.leaders()[0] - 1
     others = [number for number in fleet.voters() if number != leader]
     leaving = ([leader] + others)[:3] if leader_first else others[:3]
     for number in leaving:
@@ -101,14 +101,14 @@
         fleet.start_core(number, False)
         fleet.world.run(1000)
         assert read_version(fleet, range(6)) == "r1"
-    assert fleet.world.until(lambda: len(fleet.owners()) == 1 and len(fleet.voters()) == 5, 15000)
+    assert fleet.world.until(lambda: len(fleet.leaders()) == 1 and len(fleet.voters()) == 5, 15000)
 
 
 def test_a_leader_that_ends_in_order_is_succeeded_without_a_pause():
     fleet = settled_fleet(seed=5)
-    leader = fleet.owners()[0] - 1
+    leader = fleet.leaders()[0] - 1
     fleet.end_core(leader)
-    assert fleet.world.until(lambda: any(owner != leader + 1 for owner in fleet.owners()), 1000)
+    assert fleet.world.until(lambda: any(owner != leader + 1 for owner in fleet.leaders()), 1000)
 
 
 # seeds
@@ -129,7 +129,7 @@
     for number in outside:
         fleet.start_core(number, False)
     fleet.world.run(12000)
-    assert not fleet.owners()
+    assert not fleet.leaders()
     answer = fleet.order(outside[0], "read", "", 2000)
     assert answer is None or answer[0] == 503
     for number in voters:
@@ -140,7 +140,7 @@
 def test_a_store_outside_the_group_knows_the_group_by_the_leaders_word():
     fleet = settled_fleet(seed=7, core=8)
     fleet.world.run(4000)
-    group = fleet.stores[fleet.owners()[0] - 1].chosen.group
+    group = fleet.stores[fleet.leaders()[0] - 1].chosen.group
     for number, store in fleet.stores.items():
         if number not in fleet.voters():
             assert set(store.known_group) == set(group)
@@ -177,12 +177,12 @@
     """A successor that held nothing counted as a voter: the next loss counted double."""
     fleet = settled_fleet(seed=9)
     assert fleet.insist([1], "replace", config(2, 1))[0] == 200
-    gone = next(n for n in fleet.voters() if n != fleet.owners()[0] - 1)
+    gone = next(n for n in fleet.voters() if n != fleet.leaders()[0] - 1)
     lose_disk(fleet, gone)
     seen = set()
     for _ in range(400):
         fleet.world.run(50)
-        if not fleet.owners():
+        if not fleet.leaders():
             continue
         for number in fleet.voters():
             store = fleet.stores[number]
@@ -196,7 +196,7 @@
 
 def test_a_voter_that_missed_a_change_gets_it_without_another():
     fleet = settled_fleet(seed=10)
-    away = next(n for n in fleet.voters() if n != fleet.owners()[0] - 1)
+    away = next(n for n in fleet.voters() if n != fleet.leaders()[0] - 1)
     cut_off(fleet, [away])
     fleet.world.run(300)
     rest = [n for n in range(6) if n != away]
@@ -212,7 +212,7 @@
 
 def cut_leader(seed):
     fleet = settled_fleet(seed)
-    leader = fleet.owners()[0] - 1
+    leader = fleet.leaders()[0] - 1
     cut_off(fleet, [leader])
     rest = [number for number in range(6) if number != leader]
     assert fleet.insist(rest, "replace", config(2, 1))[0] == 200
@@ -236,14 +236,16 @@
             assert answer is None or answer[0] == 503, (name, answer)
     fleet.world.join()
     assert read_version(fleet, [leader]) == "r2"
-    assert fleet.stores[fleet.owners()[0] - 1].chosen.evacuated == ()
+    assert fleet.stores[fleet.leaders()[0] - 1].chosen.evacuated == ()
 
 
 def test_a_registry_cut_off_takes_no_beats_and_feeds_no_proxy():
     fleet = settled_fleet(seed=12, proxies=3)
     fleet.world.run(4000)
-    number = next(n for n, r in fleet.registries.items() if any(s for s in r.desk.subscribers))
-    fed = list(fleet.registries[number].desk.subscribers)
+    number = next(
+        n for n, r in fleet.registries.items() if any(s for s in r.service.feeding.subscribers)
+    )
+    fed = list(fleet.registries[number].service.feeding.subscribers)
     cut_off(fleet, [number])
     fleet.world.run(8000)
     got = []
@@ -252,18 +254,20 @@
         "details": {"service": "s", "zone": "a1", "slots": 2, "version": ""},
         "status": {"state": "ready", "callSeq": 9, "coldLeftMs": 0},
     }
-    fleet.registries[number].desk.beat("i-1", beat, lambda status, body: got.append(status))
+    fleet.registries[number].service.intake.beat(
+        "i-1", beat, lambda status, body: got.append(status)
+    )
     assert got == [503]
     for proxy in fleet.proxies.values():
-        if proxy.board.address in fed:
-            assert proxy.feeder != fleet.registries[number].board.address
+        if proxy.switchboard.address in fed:
+            assert proxy.feeder != fleet.registries[number].switchboard.address
 
 
 def test_a_leader_that_thaws_answers_nothing_from_before():
     """Frozen while its questions are on their way: the answers that wait for it are too old."""
     for pause_ms in (1, 5, 20, 40, 62, 64, 70, 90, 120):
         fleet = settled_fleet(seed=13)
-        leader = fleet.owners()[0] - 1
+        leader = fleet.leaders()[0] - 1
         got = []
         fleet.stores[leader].orders.take("read", "", False, got.append)
         fleet.stores[leader].orders.take("replace", config(9, 8), False, got.append)
@@ -281,20 +285,57 @@
 def test_orders_that_waited_for_a_frozen_daemon_are_not_carried_out_when_it_thaws():
     """An evacuation given up, sent elsewhere and taken back was begun again by the thaw."""
     fleet = settled_fleet(seed=14)
-    leader = fleet.owners()[0] - 1
+    leader = fleet.leaders()[0] - 1
     slow = next(number for number in range(6) if number != leader)
     for victim in (slow, leader):
         store = fleet.stores[victim]
         fleet.world.freeze(store.context, 9000)
         fleet.world.run(1)
         others = [number for number in range(6) if number != victim]
-        caller = fleet.registries[others[0]].board
+        caller = fleet.registries[others[0]].switchboard
         caller.call(store.address, 26, ["evacuate", "a1", False], 500, lambda *answer: None)
         assert fleet.insist(others, "evacuate", "a1")[0] == 200
         assert fleet.insist(others, "takeBack", "a1")[0] == 200
         fleet.world.run(16000)
-        assert fleet.world.until(lambda: len(fleet.owners()) == 1, 10000)
-        assert fleet.stores[fleet.owners()[0] - 1].chosen.evacuated == ()
+        assert fleet.world.until(lambda: len(fleet.leaders()) == 1, 10000)
+        assert fleet.stores[fleet.leaders()[0] - 1].chosen.evacuated == ()
+
+
+def test_an_order_that_a_frozen_registry_finds_waiting_is_not_carried_out():
+    """It is read when the registry goes on: given up long ago, sent elsewhere and taken back."""
+    fleet = settled_fleet(seed=22)
+    registry = fleet.registries[2]
+    fleet.world.freeze(registry.context, 9000)
+    fleet.world.run(1)
+    got = []
+    fleet.world.later(
+        9000, registry.service.register.order, "evacuate", "a1", lambda *answer: got.append(answer)
+    )
+    others = [0, 1, 3, 4, 5]
+    assert fleet.insist(others, "evacuate", "a1")[0] == 200
+    assert fleet.insist(others, "takeBack", "a1")[0] == 200
+    fleet.world.run(14000)
+    assert [status for status, _ in got] == [503]
+    assert fleet.stores[fleet.leaders()[0] - 1].chosen.evacuated == ()
+
+
+def test_an_order_is_given_up_when_its_caller_has_gone_on():
+    """The store beside the registry is silent: the next one was asked a second later."""
+    fleet = settled_fleet(seed=23)
+    leader = fleet.leaders()[0] - 1
+    number = next(n for n in range(6) if n != leader)
+    fleet.world.kill(fleet.stores[number].context)
+    fleet.world.cut_one_way([address(number)], [address(n) for n in range(6) if n != number])
+    got = []
+    started_ms = fleet.world.env.now
+    fleet.registries[number].service.register.order(
+        "evacuate", "a1", lambda *answer: got.append((fleet.world.env.now, answer[0]))
+    )
+    fleet.world.run(6000)
+    assert got and got[0][1] == 503 and got[0][0] - started_ms <= 1100
+    fleet.world.join()
+    fleet.world.run(4000)
+    assert fleet.stores[fleet.leaders()[0] - 1].chosen.evacuated == ()
 
 
 # numbers and resends
@@ -307,7 +348,7 @@
         if fleet.world.random.random() >= lost:
             got.append(status)
 
-    fleet.registries[number].desk.order("replace", payload, answered)
+    fleet.registries[number].service.register.order("replace", payload, answered)
 
 
 def test_a_change_sent_again_after_a_lost_answer_is_never_refused():
@@ -339,7 +380,7 @@
             for n, payload in enumerate(payloads):
                 lossy_order(fleet, (n + attempt) % 6, payload, 0.7, confirmed[n])
             if attempt == 1:
-                fleet.kill_core(fleet.owners()[0] - 1)
+                fleet.kill_core(fleet.leaders()[0] - 1)
             fleet.world.run(1500)
         for number in range(6):
             if not fleet.running(number):
@@ -359,7 +400,7 @@
 
 def test_a_voter_that_was_down_for_hundreds_of_changes_catches_up_and_leads_with_the_newest():
     fleet = settled_fleet(seed=19)
-    leader = fleet.owners()[0] - 1
+    leader = fleet.leaders()[0] - 1
     down = next(n for n in fleet.voters() if n != leader)
     fleet.kill_core(down)
     rest = [n for n in range(6) if n != down]
@@ -371,7 +412,7 @@
         fleet.kill_core(number)
     alive = [n for n in range(6) if fleet.running(n)]
     assert read_version(fleet, alive) == "r201"
-    leading = fleet.stores[fleet.owners()[0] - 1]
+    leading = fleet.stores[fleet.leaders()[0] - 1]
     assert leading.chosen.version == 201
 
 
@@ -382,7 +423,7 @@
     sizes = []
     for version in range(2, 82):
         assert fleet.insist([version % 6], "replace", config(version, version - 1))[0] == 200
-        sizes.append(len(fleet.stores[fleet.owners()[0] - 1].chosen.packed))
+        sizes.append(len(fleet.stores[fleet.leaders()[0] - 1].chosen.packed))
     assert max(sizes[40:]) < sizes[30] * 1.1
     assert fleet.insist([0], "replace", config(81, 80))[0] == 200
     assert fleet.insist([0], "replace", config(70, 69))[0] == 200
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -266,7 +266,7 @@
     for _ in range(4):
         for _number, registry in days.fleet.registries.items():
             if registry.context.alive:
-                registry.duties.election.stand()
+                registry.duties.election.campaign()
         days.world.run(1500)
     days.world.run(15000)
     days.platform.check()
@@ -388,7 +388,7 @@
     for number in (0, 1, 2):
         feeder = int(days.fleet.proxies[number].feeder.split(":")[0].split(".")[-1]) - 1
         days.fleet.proxies[number].change_feeder("the test wants another")
-        days.fleet.proxies[number].shunned[days.fleet.registries[feeder].board.address] = 1e12
+        days.fleet.proxies[number].shunned[days.fleet.registries[feeder].switchboard.address] = 1e12
         days.world.run(1500)
     days.world.run(16000)
     days.near(days.platform.check(), 0.01)
@@ -437,7 +437,7 @@
     days.world.run(16000)
     days.platform.shut()
     days.world.run(22000)
-    stand = days.fleet.registries[days.holder()].desk.stand()["duties"]["usage_report"]
+    stand = days.fleet.registries[days.holder()].service.status()["duties"]["usage_report"]
     assert (
         stand["holder"] == f"node-10.0.0.{days.holder() + 1}"
         and stand["holding"]
@@ -446,13 +446,13 @@
     assert stand["overdue"] and stand["pending"] and stand["sent"]
     from stagevale.doctoring import stand_faults
 
-    whole = days.fleet.registries[days.holder()].desk.stand()
+    whole = days.fleet.registries[days.holder()].service.status()
     assert any("overdue" in finding.fault for finding in stand_faults("here", whole))
     days.platform.open()
     days.world.run(8000)
     assert not any(
         "overdue" in finding.fault
-        for finding in stand_faults("here", days.fleet.registries[days.holder()].desk.stand())
+        for finding in stand_faults("here", days.fleet.registries[days.holder()].service.status())
     )
 
 
@@ -460,7 +460,7 @@
     fleet = Fleet(1, 2)
     fleet.world.run(5000)
     assert all(
-        registry.duties is None and registry.desk.ledger is None
+        registry.duties is None and registry.service.ledger is None
         for registry in fleet.registries.values()
     )
     assert all(proxy.forwarder.counts is None for proxy in fleet.proxies.values())
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -242,19 +242,20 @@
         assert fleet.world.until(lambda: fleet.formed(12), 25000)
         for number in range(count):
             for seq in (1, 2):
-                fleet.registries[number % 6].desk.beat(
+                fleet.registries[number % 6].service.intake.beat(
                     f"i-{number}", beat_of(f"i-{number}", seq=seq), lambda *_: None
                 )
         fleet.world.run(4000)
         before = fleet.world.crossed
         for number in range(6):
-            fleet.registries[number].desk.beat(
+            fleet.registries[number].service.intake.beat(
                 f"i-{number}", beat_of(f"i-{number}", "draining", 3), lambda *_: None
             )
         fleet.world.run(3000)
         crossed.append(fleet.world.crossed - before)
         assert (
-            len({registry.desk.lives.mark_of_all() for registry in fleet.registries.values()}) == 1
+            len({registry.service.lives.mark_of_all() for registry in fleet.registries.values()})
+            == 1
         )
     assert crossed[1] < crossed[0] * 1.5
 
@@ -278,15 +279,19 @@
     """
     fleet, heard = Fleet(7, 36), []
     for number in range(4):
-        fleet.registries[0].desk.beat(f"i-{number}", beat_of(f"i-{number}"), lambda *_: None)
-    board = fleet.registries[5].desk.board
-    handler = board.handlers[wire.ATTACHED]
-    board.on(
+        fleet.registries[0].service.intake.beat(
+            f"i-{number}", beat_of(f"i-{number}"), lambda *_: None
+        )
+    switchboard = fleet.registries[5].service.switchboard
+    handler = switchboard.handlers[wire.ATTACHED]
+    switchboard.on(
         wire.ATTACHED,
         lambda peer, body, reply: (heard.append(len(body)), handler(peer, body, reply)),
     )
     assert fleet.world.until(lambda: fleet.formed(48), 40000)
     fleet.world.run(2000)
-    told = {row[0] for rows in fleet.registries[5].desk.attached.values() for row in rows}
-    assert len(told) + len(fleet.registries[5].desk.subscribers) == 36
+    told = {
+        row[0] for rows in fleet.registries[5].service.feeding.attached.values() for row in rows
+    }
+    assert len(told) + len(fleet.registries[5].service.feeding.subscribers) == 36
     assert sum(heard) >= len(told) and len(heard) < 20
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -32,7 +32,7 @@
     "services": [
         {"name": name, "maxConns": 50, "warmupS": 0, "coldPerS": 99} for name in ("s", "t")
     ],
-    "tenants": [{"name": "buyer", "apiKeys": ["k1"]}, {"name": "desk", "apiKeys": ["k2"]}],
+    "tenants": [{"name": "buyer", "apiKeys": ["k1"]}, {"name": "service", "apiKeys": ["k2"]}],
 }
 
 
@@ -78,7 +78,7 @@
         {"everybody": True},
         {"regions": ["a"]},
         {"zones": ["b1"]},
-        {"tenants": ["desk"]},
+        {"tenants": ["service"]},
         {"partners": ["p2"]},
     ]
 )
@@ -113,7 +113,10 @@
 
 
 @given(
-    OFFERS, PREFIXES, st.sampled_from(sorted(ZONES)), st.sampled_from(["", "buyer", "desk", "p2"])
+    OFFERS,
+    PREFIXES,
+    st.sampled_from(sorted(ZONES)),
+    st.sampled_from(["", "buyer", "service", "p2"]),
 )
 @settings(max_examples=300, deadline=None, database=None, derandomize=True)
 def test_no_request_is_taken_on_a_withheld_path_nor_slips_to_a_wider_route(
@@ -230,14 +233,14 @@
         self.fleet = Fleet(seed, proxies)
         self.world = self.fleet.world
         assert self.world.until(
-            lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 20000
+            lambda: len(self.fleet.leaders()) == 1 and self.fleet.formed(12 + proxies), 20000
         )
         assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
         self.arrivals, self.number, self.clients, self.every = [], 0, [], 40
         for place, zone in enumerate(("a1", "b1", "c1")):
             endpoint = Endpoint(self.world, place + 1, self.run, zone)
             life = endpoint.life()
-            self.fleet.registries[place].desk.take_in(life, lambda status, body: None)
+            self.fleet.registries[place].service.intake.take_in(life, lambda status, body: None)
             self.beat(place, endpoint, 2)
         assert self.world.until(
             lambda: all(len(p.targets) == 3 for p in self.fleet.proxies.values()), 5000
@@ -246,7 +249,7 @@
     def beat(self, place, endpoint, seq):
         self.world.later(1500, self.beat, place, endpoint, seq + 1)
         if self.fleet.registries[place].context.alive:
-            self.fleet.registries[place].desk.take_in(
+            self.fleet.registries[place].service.intake.take_in(
                 endpoint.life(seq=seq), lambda status, body: None
             )
 
@@ -360,11 +363,11 @@
     yard.world.run(2500)
     yard.flow()
     cut_proxy(yard)
-    owner = yard.fleet.owners()[0] - 1
+    owner = yard.fleet.leaders()[0] - 1
     asked = (owner + 1) % 6
     payload = "bee\n" + offer(2, [row("/z/")], [], 1)
     got = []
-    yard.fleet.registries[asked].desk.order(
+    yard.fleet.registries[asked].service.register.order(
         "offer", payload, lambda status, text: got.append((status, text))
     )
     others = [keeper for number, keeper in yard.fleet.stores.items() if number != owner]
@@ -393,7 +396,7 @@
     assert yard.fleet.insist([1], "offer", "bee\n" + offer(3, [row("/z/")], [], 3))[0] == 400
     answers = []
     for number, path in ((1, "/one/"), (2, "/two/")):
-        yard.fleet.registries[number].desk.order(
+        yard.fleet.registries[number].service.register.order(
             "offer",
             "bee\n" + offer(6, [row(path)], [], 3),
             lambda status, text, path=path: answers.append((path, status)),
@@ -415,11 +418,15 @@
     assert yard.offer(1, [row("/w/")], name="ant")[0] == 200
     yard.world.run(4000)
     marks = {proxy.forwarder.snapshot.partners.mark for proxy in yard.fleet.proxies.values()}
-    marks |= {registry.desk.partners.mark for registry in yard.fleet.registries.values()}
+    marks |= {
+        registry.service.register.partners.mark for registry in yard.fleet.registries.values()
+    }
     assert len(marks) == 1
     shown = []
-    yard.fleet.registries[0].desk.partner_table(lambda status, body: shown.append((status, body)))
-    yard.fleet.registries[1].desk.explain(
+    yard.fleet.registries[0].service.views.partner_table(
+        lambda status, body: shown.append((status, body))
+    )
+    yard.fleet.registries[1].service.views.explain(
         {"host": ["h.example"], "path": ["/w/1"], "zone": ["b1"]},
         lambda status, body: shown.append((status, body)),
     )
@@ -442,18 +449,22 @@
     yard.world.cut(["10.0.0.6"], [f"10.0.0.{n}" for n in range(1, 6)])
     yard.world.run(3000)
     shown = []
-    yard.fleet.registries[5].desk.partner_table(lambda status, body: shown.append((status, body)))
+    yard.fleet.registries[5].service.views.partner_table(
+        lambda status, body: shown.append((status, body))
+    )
     assert yard.world.until(lambda: shown, 9000)
     assert shown[0][0] == 503 and "majority" in shown[0][1]["error"]
 
 
 def test_without_offers_nothing_is_asked_and_nothing_is_stored():
     fleet = Fleet(8, 2)
-    assert fleet.world.until(lambda: fleet.owners() and fleet.formed(14), 20000)
+    assert fleet.world.until(lambda: fleet.leaders() and fleet.formed(14), 20000)
     assert fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
     fleet.world.run(3000)
     assert all(proxy.forwarder.lease.ask_number == 0 for proxy in fleet.proxies.values())
-    assert not any(registry.desk.partners.rows for registry in fleet.registries.values())
+    assert not any(
+        registry.service.register.partners.rows for registry in fleet.registries.values()
+    )
 
 
 def test_an_offer_of_the_wrong_shape_names_the_place_and_is_not_called_unreadable():
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -31,14 +31,16 @@
 
 def formed_fleet(seed=1, proxies=0):
     fleet = Fleet(seed, proxies)
-    assert fleet.world.until(lambda: len(fleet.owners()) == 1 and fleet.formed(12 + proxies), 20000)
-    fleet.world.until(lambda: len(fleet.stores[fleet.owners()[0] - 1].chosen.group) == 5, 20000)
+    assert fleet.world.until(
+        lambda: len(fleet.leaders()) == 1 and fleet.formed(12 + proxies), 20000
+    )
+    fleet.world.until(lambda: len(fleet.stores[fleet.leaders()[0] - 1].chosen.group) == 5, 20000)
     return fleet
 
 
 def test_group_grows_to_bear_two_losses():
     fleet = formed_fleet()
-    group = fleet.stores[fleet.owners()[0] - 1].chosen.group
+    group = fleet.stores[fleet.leaders()[0] - 1].chosen.group
     assert len(group) == 5
     assert {"10.0.0.1:7201", "10.0.0.2:7201", "10.0.0.3:7201"} < set(group)
 
@@ -70,7 +72,7 @@
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
     answers = []
     for number, host in ((1, "one.example"), (4, "two.example")):
-        fleet.registries[number].desk.order(
+        fleet.registries[number].service.register.order(
             "replace",
             config(2, 1, host=host),
             lambda status, text, host=host: answers.append((host, status)),
@@ -84,10 +86,10 @@
 def test_owner_killed_between_accept_and_answer():
     fleet = formed_fleet()
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
-    owner = fleet.owners()[0] - 1
+    owner = fleet.leaders()[0] - 1
     asked = (owner + 1) % 6
     payload = config(2, 1)
-    fleet.registries[asked].desk.order("replace", payload, lambda status, text: None)
+    fleet.registries[asked].service.register.order("replace", payload, lambda status, text: None)
     others = [keeper for number, keeper in fleet.stores.items() if number != owner]
     assert fleet.world.until(
         lambda: any(k.acceptor.accepted and k.acceptor.accepted.version == 2 for k in others),
@@ -128,7 +130,7 @@
         lambda: all(fleet.stores[number].is_voter() for number in holders), 10000
     )
     assert all(fleet.stores[number].acceptor.accepted.version == 1 for number in holders)
-    group = fleet.stores[fleet.owners()[0] - 1].chosen.group
+    group = fleet.stores[fleet.leaders()[0] - 1].chosen.group
     assert not set(former) & set(group)
 
 
@@ -147,7 +149,7 @@
         in (None, (503, "no owner in time"), (503, "no group known"))
         or fleet.order(0, "read", "", 1500)[0] == 503
     )
-    assert not fleet.owners()
+    assert not fleet.leaders()
     assert not any(fleet.stores[number].is_voter() for number in range(4))
 
 
@@ -161,14 +163,14 @@
     for number in range(6):
         fleet.start_core(number, False)
     assert json.loads(fleet.insist(range(6), "read", "")[1])["version"] == "r1"
-    assert fleet.world.until(lambda: len(fleet.owners()) == 1, 10000)
-    assert fleet.stores[fleet.owners()[0] - 1].chosen.evacuated == ("b1",)
+    assert fleet.world.until(lambda: len(fleet.leaders()) == 1, 10000)
+    assert fleet.stores[fleet.leaders()[0] - 1].chosen.evacuated == ("b1",)
 
 
 def test_owner_cut_off_gives_no_false_refusal():
     fleet = formed_fleet()
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
-    owner = fleet.owners()[0] - 1
+    owner = fleet.leaders()[0] - 1
     ip = f"10.0.0.{owner + 1}"
     rest = [f"10.0.0.{n}" for n in range(1, 7) if n != owner + 1]
     fleet.world.cut([ip], rest)
@@ -185,7 +187,7 @@
 def test_stalled_disk_of_the_owner_stalls_nobody():
     fleet = formed_fleet()
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
-    owner = fleet.owners()[0] - 1
+    owner = fleet.leaders()[0] - 1
     fleet.world.stalled.add(f"10.0.0.{owner + 1}")
     start_ms = fleet.world.env.now
     assert fleet.insist([(owner + 1) % 6], "replace", config(2, 1))[0] == 200
@@ -197,7 +199,7 @@
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
     group = [
         int(a.split(":")[0].split(".")[-1])
-        for a in fleet.stores[fleet.owners()[0] - 1].chosen.group
+        for a in fleet.stores[fleet.leaders()[0] - 1].chosen.group
     ]
     few, many = group[:2], [n for n in range(1, 7) if n not in group[:2]]
     fleet.world.cut([f"10.0.0.{n}" for n in few], [f"10.0.0.{n}" for n in many])
@@ -216,7 +218,7 @@
     """
     fleet = formed_fleet()
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
-    owner = fleet.owners()[0] - 1
+    owner = fleet.leaders()[0] - 1
     group = [
         int(address.split(":")[0].split(".")[-1]) - 1
         for address in fleet.stores[owner].chosen.group
@@ -228,7 +230,7 @@
             fleet.world.run(1500)
             fleet.start_core(number, False)
             fleet.world.run(2500)
-    assert fleet.owners() == [owner + 1] and fleet.stores[owner].ballot == ballot
+    assert fleet.leaders() == [owner + 1] and fleet.stores[owner].ballot == ballot
 
 
 def test_candidate_that_finds_a_newer_group_keeps_the_ballot_under_which_it_was_accepted():
@@ -237,7 +239,7 @@
     """
     fleet = formed_fleet()
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
-    owner = fleet.owners()[0] - 1
+    owner = fleet.leaders()[0] - 1
     stale = fleet.stores[next(number for number in range(3) if number != owner)]
     newest = fleet.stores[owner].ballot
     stale.acceptor.changed(
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -23,7 +23,9 @@
 
 def formed(seed=11, proxies=6):
     fleet = Fleet(seed, proxies)
-    assert fleet.world.until(lambda: len(fleet.owners()) == 1 and fleet.formed(12 + proxies), 25000)
+    assert fleet.world.until(
+        lambda: len(fleet.leaders()) == 1 and fleet.formed(12 + proxies), 25000
+    )
     assert fleet.insist([0], "replace", config(1, 0))[0] == 200
     assert fleet.world.until(
         lambda: all(p.forwarder.snapshot.hosts for p in fleet.proxies.values()), 5000
@@ -33,7 +35,7 @@
 
 def tell(fleet, number, call, wait_ms=2000):
     got = []
-    call(fleet.registries[number].desk, lambda status, body: got.append(status))
+    call(fleet.registries[number].service, lambda status, body: got.append(status))
     fleet.world.until(lambda: got, wait_ms)
     return got[0] if got else None
 
@@ -49,7 +51,9 @@
             tell(
                 fleet,
                 number,
-                lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer),
+                lambda service, answer: service.intake.beat(
+                    f"i-{number}", beat_of(f"i-{number}"), answer
+                ),
             )
             == 200
         )
@@ -58,33 +62,51 @@
 
 def test_drain_is_acknowledged_only_when_the_group_holds_it_and_reaches_the_proxies_in_time():
     fleet = formed()
-    tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1"), answer))
+    tell(fleet, 0, lambda service, answer: service.intake.beat("i-1", beat_of("i-1"), answer))
     assert fleet.world.until(lambda: all(known(fleet, "i-1")), 2500)
     assert (
-        tell(fleet, 4, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer))
+        tell(
+            fleet,
+            4,
+            lambda service, answer: service.intake.beat(
+                "i-1", beat_of("i-1", "draining", 2), answer
+            ),
+        )
         == 200
     )
     acked_ms = fleet.world.env.now
     assert fleet.world.until(lambda: all(t.state == DRAINING for t in known(fleet, "i-1")), 1250)
-    tell(fleet, 2, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "ready", 1), answer))
+    tell(
+        fleet,
+        2,
+        lambda service, answer: service.intake.beat("i-1", beat_of("i-1", "ready", 1), answer),
+    )
     fleet.world.run(2500)
     assert all(t.state == DRAINING for t in known(fleet, "i-1"))
-    assert tell(fleet, 1, lambda desk, answer: desk.leave("i-1", answer)) == 200
+    assert tell(fleet, 1, lambda service, answer: service.intake.leave("i-1", answer)) == 200
     assert fleet.world.until(lambda: not any(known(fleet, "i-1")), 1250)
     assert fleet.world.env.now > acked_ms
 
 
 def test_drain_during_a_cut_is_refused_by_the_side_without_the_core():
     fleet = formed()
-    tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1"), answer))
+    tell(fleet, 0, lambda service, answer: service.intake.beat("i-1", beat_of("i-1"), answer))
     fleet.world.run(2000)
     fleet.world.cut(["10.0.0.5"], [f"10.0.0.{n}" for n in (1, 2, 3, 4, 6)])
     fleet.world.run(3500)
     assert tell(
-        fleet, 4, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer)
+        fleet,
+        4,
+        lambda service, answer: service.intake.beat("i-1", beat_of("i-1", "draining", 2), answer),
     ) in (503, None)
     assert (
-        tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1", "draining", 2), answer))
+        tell(
+            fleet,
+            0,
+            lambda service, answer: service.intake.beat(
+                "i-1", beat_of("i-1", "draining", 2), answer
+            ),
+        )
         == 200
     )
     assert fleet.world.until(lambda: all(t.state == DRAINING for t in known(fleet, "i-1")), 2500)
@@ -104,20 +126,36 @@
     fleet = formed()
     seq = 1
     for _ in range(8):
-        tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1", seq=seq), answer))
-        tell(fleet, 3, lambda desk, answer: desk.beat("i-2", beat_of("i-2", seq=seq), answer))
+        tell(
+            fleet,
+            0,
+            lambda service, answer: service.intake.beat("i-1", beat_of("i-1", seq=seq), answer),
+        )
+        tell(
+            fleet,
+            3,
+            lambda service, answer: service.intake.beat("i-2", beat_of("i-2", seq=seq), answer),
+        )
         fleet.world.run(1500)
         seq += 1
     assert all(t.healthy for t in known(fleet, "i-1") + known(fleet, "i-2"))
     for _ in range(6):
-        tell(fleet, 3, lambda desk, answer: desk.beat("i-2", beat_of("i-2", seq=seq), answer))
+        tell(
+            fleet,
+            3,
+            lambda service, answer: service.intake.beat("i-2", beat_of("i-2", seq=seq), answer),
+        )
         fleet.world.run(1500)
         seq += 1
     assert not any(t.healthy for t in known(fleet, "i-1")) and all(
         t.healthy for t in known(fleet, "i-2")
     )
     tell(
-        fleet, 5, lambda desk, answer: desk.beat("i-1", beat_of("i-1", seq=seq, cold=2500), answer)
+        fleet,
+        5,
+        lambda service, answer: service.intake.beat(
+            "i-1", beat_of("i-1", seq=seq, cold=2500), answer
+        ),
     )
     assert fleet.world.until(
         lambda: all(
@@ -135,7 +173,9 @@
     for seq in range(1, 17):
         for number in range(12):
             beat = beat_of(f"i-{number}", seq=seq, service=f"s{number % 4}")
-            fleet.registries[number % 6].desk.beat(f"i-{number}", beat, lambda status, body: None)
+            fleet.registries[number % 6].service.intake.beat(
+                f"i-{number}", beat, lambda status, body: None
+            )
         fleet.world.run(1500)
     assert not [line for line in fleet.world.lines if "unheard" in line]
 
@@ -146,18 +186,20 @@
         tell(
             fleet,
             number,
-            lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer),
+            lambda service, answer: service.intake.beat(
+                f"i-{number}", beat_of(f"i-{number}"), answer
+            ),
         )
     fleet.world.run(2500)
     fleet.kill_core(1)
     fleet.start_core(1, False)
-    assert fleet.world.until(lambda: len(fleet.registries[1].desk.lives.by_id) == 6, 8000)
+    assert fleet.world.until(lambda: len(fleet.registries[1].service.lives.by_id) == 6, 8000)
     assert all(len(proxy.targets) == 6 for proxy in fleet.proxies.values())
 
 
 def test_restart_of_the_whole_core_keeps_proxies_serving_and_learns_again():
     fleet = formed()
-    tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1"), answer))
+    tell(fleet, 0, lambda service, answer: service.intake.beat("i-1", beat_of("i-1"), answer))
     fleet.world.run(2000)
     for number in range(6):
         fleet.kill_core(number)
@@ -174,7 +216,11 @@
     )
     assert fleet.world.until(
         lambda: (
-            tell(fleet, 2, lambda desk, answer: desk.beat("i-1", beat_of("i-1", seq=9), answer))
+            tell(
+                fleet,
+                2,
+                lambda service, answer: service.intake.beat("i-1", beat_of("i-1", seq=9), answer),
+            )
             == 200
         ),
         8000,
@@ -187,9 +233,15 @@
         tell(
             fleet,
             number,
-            lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer),
+            lambda service, answer: service.intake.beat(
+                f"i-{number}", beat_of(f"i-{number}"), answer
+            ),
         )
-    tell(fleet, 0, lambda desk, answer: desk.beat("i-5", beat_of("i-5", "draining", 2), answer))
+    tell(
+        fleet,
+        0,
+        lambda service, answer: service.intake.beat("i-5", beat_of("i-5", "draining", 2), answer),
+    )
     fleet.world.run(3000)
     for number in range(6):
         fleet.kill_core(number)
@@ -208,26 +260,30 @@
 
 def test_directory_names_ready_fronts_of_the_zone_and_drops_a_killed_proxy():
     fleet = formed()
-    tell(fleet, 0, lambda desk, answer: desk.beat("i-1", beat_of("i-1"), answer))
-    desk = fleet.registries[3].desk
-    assert fleet.world.until(lambda: desk.resolve("a1", "a") == ["10.0.1.1:9000"], 5000)
+    tell(fleet, 0, lambda service, answer: service.intake.beat("i-1", beat_of("i-1"), answer))
+    service = fleet.registries[3].service
+    assert fleet.world.until(lambda: service.feeding.resolve("a1", "a") == ["10.0.1.1:9000"], 5000)
     fleet.world.kill(fleet.proxies[0].context)
-    assert fleet.world.until(lambda: desk.resolve("a1", "a") == ["10.0.1.4:9000"], 1500)
+    assert fleet.world.until(lambda: service.feeding.resolve("a1", "a") == ["10.0.1.4:9000"], 1500)
 
 
 def test_a_welcome_is_packed_once_for_a_burst_of_proxies_and_never_misses_news_between(monkeypatch):
     fleet = formed()
     for number in range(6):
         tell(
-            fleet, 0, lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer)
+            fleet,
+            0,
+            lambda service, answer: service.intake.beat(
+                f"i-{number}", beat_of(f"i-{number}"), answer
+            ),
         )
     fleet.world.run(500)
-    desk, fed, packed = fleet.registries[0].desk, {}, []
+    service, fed, packed = fleet.registries[0].service, {}, []
     pack_rows = wire.pack_rows
     monkeypatch.setattr(
         Switchboard,
-        "cast",
-        lambda board, peer, kind, body: (
+        "send",
+        lambda switchboard, peer, kind, body: (
             kind == wire.FEED
             and fed.setdefault(peer, []).append(
                 {row[0]: row[5] for row in wire.unpack_rows(body[2])}
@@ -236,12 +292,14 @@
     )
     monkeypatch.setattr(wire, "pack_rows", lambda rows: packed.append(len(rows)) or pack_rows(rows))
     for number in range(5):
-        desk.on_subscribe(
+        service.feeding.on_subscribe(
             f"10.0.7.{number}:7200", ["10.0.7.1:9000", "a1", "a", True, 10**6, []], None
         )
     assert packed == [6] and all(len(rows[0]) == 6 for rows in fed.values())
-    desk.beat("i-3", beat_of("i-3", "draining", 2), lambda status, body: None)
-    desk.on_subscribe("10.0.7.9:7200", ["10.0.7.9:9000", "a1", "a", True, 10**6, []], None)
+    service.intake.beat("i-3", beat_of("i-3", "draining", 2), lambda status, body: None)
+    service.feeding.on_subscribe(
+        "10.0.7.9:7200", ["10.0.7.9:9000", "a1", "a", True, 10**6, []], None
+    )
     assert fed["10.0.7.9:7200"][-1]["i-3"] == DRAINING
 
 
@@ -253,7 +311,7 @@
     assert fleet.world.until(lambda: fleet.proxies[2].forwarder.snapshot.hosts, 5000)
     assert (
         fleet.proxies[2].forwarder.snapshot.serial
-        == fleet.stores[fleet.owners()[0] - 1].chosen.serial
+        == fleet.stores[fleet.leaders()[0] - 1].chosen.serial
     )
 
 
@@ -324,7 +382,9 @@
         tell(
             fleet,
             number,
-            lambda desk, answer: desk.beat(f"i-{number}", beat_of(f"i-{number}"), answer),
+            lambda service, answer: service.intake.beat(
+                f"i-{number}", beat_of(f"i-{number}"), answer
+            ),
         )
     fleet.world.run(6000)
     table = fleet.registries[0].membership.state.table
@@ -356,7 +416,7 @@
         if part.startswith("part-"):
             assert len(group) == 3
     assert all(
-        len(registry.desk.lives.by_id) == 6
+        len(registry.service.lives.by_id) == 6
         for n, registry in fleet.registries.items()
         if n != leaver
     )
--- a/tests/test_rehearsing.py
+++ b/tests/test_rehearsing.py
@@ -31,7 +31,7 @@
         self.fleet = Fleet(seed, proxies=6)
         self.world = self.fleet.world
         assert self.world.until(
-            lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(18), 25000
+            lambda: len(self.fleet.leaders()) == 1 and self.fleet.formed(18), 25000
         )
         assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
         self.ran, self.clients, self.sent, self.dead = [], [], 0, set()
@@ -76,7 +76,9 @@
                 "details": {"service": "s", "zone": endpoint.zone, "slots": 3},
                 "status": {"state": "ready", "callSeq": self.seq, "coldLeftMs": 0},
             }
-            self.fleet.registries[number].desk.beat(endpoint.id, beat, lambda status, body: None)
+            self.fleet.registries[number].service.intake.beat(
+                endpoint.id, beat, lambda status, body: None
+            )
         self.world.later(1500, self.beat)
 
     def come(self):
@@ -85,12 +87,12 @@
         kind, method = ("p", "GET") if self.sent % 5 else ("h", "GET")
         if self.sent % 3 == 0:
             kind, method = "e", "POST"
-        desk = next(
-            registry.desk
+        service = next(
+            registry.service
             for number, registry in self.fleet.registries.items()
             if registry.context.alive and ZONES[number][0] not in self.dead
         )
-        fronts = [tuple(front.split(":")) for front in desk.resolve(zone, zone[0])]
+        fronts = [tuple(front.split(":")) for front in service.feeding.resolve(zone, zone[0])]
         if fronts:
             ip, port = fronts[self.sent % len(fronts)]
             found = self.world.listeners.get((ip, int(port)))
@@ -118,7 +120,7 @@
         near.write(data)
 
     def stands(self):
-        return [registry.desk.stand() for registry in self.fleet.registries.values()]
+        return [registry.service.status() for registry in self.fleet.registries.values()]
 
     def lose(self, region):
         self.dead.add(region)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -277,7 +277,7 @@
         self.fleet = Fleet(seed, proxies)
         self.world = self.fleet.world
         assert self.world.until(
-            lambda: len(self.fleet.owners()) == 1 and self.fleet.formed(12 + proxies), 20000
+            lambda: len(self.fleet.leaders()) == 1 and self.fleet.formed(12 + proxies), 20000
         )
         assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
         self.arrivals, self.number, self.sent, self.mode, self.flowing = [], 0, [], mode, True
@@ -294,7 +294,7 @@
         self.world.later(1500, self.beat, place, endpoint, seq + 1)
         alive = [registry for registry in self.fleet.registries.values() if registry.context.alive]
         if alive:
-            alive[place % len(alive)].desk.take_in(
+            alive[place % len(alive)].service.intake.take_in(
                 endpoint.life(seq=seq), lambda status, body: None
             )
 
@@ -408,7 +408,7 @@
 
 
 def kill_owner(yard):
-    yard.fleet.kill_core(yard.fleet.owners()[0] - 1)
+    yard.fleet.kill_core(yard.fleet.leaders()[0] - 1)
     return ()
 
 
@@ -484,7 +484,7 @@
 def test_calls_warnings_and_versions_that_no_endpoint_runs():
     yard = Yard(seed=5)
     registry = yard.fleet.registries[0]
-    dispatch = dispatcher(registry.context, registry.desk, 4.0)
+    dispatch = dispatcher(registry.context, registry.service, 4.0)
 
     def call(method, *segments, body=b""):
         got = []
@@ -511,13 +511,15 @@
         and call("GET", "s", "pause")[0] == 405
     )
     assert call("PUT", "s", body=plan(watchS=60.0).encode())[0] == 200
-    assert yard.world.until(lambda: registry.desk.software_of("s").get("v1", (0, 0))[0] == 3, 8000)
+    assert yard.world.until(
+        lambda: registry.service.views.software_of("s").get("v1", (0, 0))[0] == 3, 8000
+    )
     status, row = call("GET", "s")
     assert status == 200 and row["endpoints"]["v1"]["endpoints"] == 3 and row["warnings"] == []
     assert call("POST", "s", "pause")[1]["state"] == "paused"
     assert call("POST", "s", "resume")[1]["state"] == SHIFTING
     assert call("POST", "s", "promote")[1]["state"] == DONE
-    for life in list(registry.desk.lives.by_id.values()):
+    for life in list(registry.service.lives.by_id.values()):
         if life.software == "v1":
             life.state = 1
     assert "refused" in call("GET", "s")[1]["warnings"][0]
@@ -537,7 +539,7 @@
 def test_leases_asked_for_by_many_registries_share_one_confirmation(monkeypatch):
     """Asked one after the other, eighteen registries' questions took longer than a lease lasts."""
     yard = Yard(seed=7)
-    owner = yard.fleet.stores[yard.fleet.owners()[0] - 1]
+    owner = yard.fleet.stores[yard.fleet.leaders()[0] - 1]
     replies, asked, confirm = [], [], ConfigurationNode.confirm
     monkeypatch.setattr(
         ConfigurationNode, "confirm", lambda self, done: (asked.append(self), confirm(self, done))
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -177,7 +177,7 @@
 def test_operators_see_each_edge_and_doctor_finds_one_that_is_far_off(monkeypatch, capsys):
     fleet = Fleet(1, 2, "\n" + ON)
     world = fleet.world
-    assert world.until(lambda: len(fleet.owners()) == 1 and fleet.formed(14), 20000)
+    assert world.until(lambda: len(fleet.leaders()) == 1 and fleet.formed(14), 20000)
     config = {
         "version": "r1",
         "parentVersion": 0,
@@ -186,13 +186,13 @@
     }
     assert fleet.insist([0], "replace", json.dumps(config))[0] == 200
     endpoint = Endpoint(world, 1, lambda e, fields, body: good(e, fields, body))
-    fleet.registries[0].desk.take_in(endpoint.life(), lambda status, body: None)
+    fleet.registries[0].service.intake.take_in(endpoint.life(), lambda status, body: None)
     assert world.until(lambda: all(proxy.targets for proxy in fleet.proxies.values()), 6000)
     for number in range(120):
         client_at(world, "10.0.1.1").transport.write(request("/p/x", f"x{number}"))
         world.run(50)
     world.run(6000)
-    stands = [registry.desk.stand() for registry in fleet.registries.values()]
+    stands = [registry.service.status() for registry in fleet.registries.values()]
     rows = [row for stand in stands for proxy in stand["proxies"] for row in proxy["delays"]]
     assert rows and rows[0]["service"] == "s" and rows[0]["count"] > 20
     monkeypatch.setattr(
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -204,7 +204,7 @@
 
 def test_the_store_refuses_tenants_with_an_unknown_home():
     fleet = Fleet(1)
-    assert fleet.world.until(lambda: fleet.owners(), 20000)
+    assert fleet.world.until(lambda: fleet.leaders(), 20000)
     assert fleet.insist([0], "replace", text([{"name": "x", "homeRegions": ["zz"]}]))[0] == 400
     assert (
         fleet.insist([0], "replace", text([{"name": "x", "apiKeys": ["k"], "homeRegions": ["a"]}]))[
@@ -216,7 +216,7 @@
 
 def test_keys_appear_in_no_log_and_on_no_page():
     fleet = Fleet(2, 1)
-    assert fleet.world.until(lambda: fleet.owners() and fleet.formed(13), 20000)
+    assert fleet.world.until(lambda: fleet.leaders() and fleet.formed(13), 20000)
     assert fleet.insist([0], "replace", text([{"name": "x", "apiKeys": ["hidden-key"]}]))[0] == 200
     assert (
         fleet.insist(
@@ -227,7 +227,7 @@
     fleet.world.run(3000)
     assert not any("hidden-key" in line for line in fleet.world.lines)
     assert all(
-        "hidden-key" not in json.dumps(registry.desk.stand())
+        "hidden-key" not in json.dumps(registry.service.status())
         for registry in fleet.registries.values()
     )
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -59,7 +59,7 @@
     fleet.world.run(500)
     assert client.closed
     assert [line for line in fleet.world.lines if "wire:" in line and "connection closed" in line]
-    assert fleet.world.until(lambda: len(fleet.owners()) == 1 and fleet.formed(12), 20000)
+    assert fleet.world.until(lambda: len(fleet.leaders()) == 1 and fleet.formed(12), 20000)
 
 
 def test_messages_in_pieces_are_put_together():
