--- a/stagevale/commands.py
+++ b/stagevale/commands.py
@@ -23,25 +23,25 @@
 @cli.command
 def proxy():
     """Run the proxy: serves front and readiness on an edge machine."""
-    from stagevale.__main__ import daemon
+    from stagevale.programs.launch import launch
 
-    return daemon("proxy")
+    return launch("proxy")
 
 
 @cli.command
 def registry():
     """Run the registry: serves control and directory on a core machine."""
-    from stagevale.__main__ import daemon
+    from stagevale.programs.launch import launch
 
-    return daemon("registry")
+    return launch("registry")
 
 
 @cli.command
 def store():
     """Run the store: keeps the configuration on a core machine's disk."""
-    from stagevale.__main__ import daemon
+    from stagevale.programs.launch import launch
 
-    return daemon("store")
+    return launch("store")
 
 
 @cli.command
--- a/stagevale/membership/__init__.py
+++ b/stagevale/membership/__init__.py
@@ -8,6 +8,7 @@
 
 from stagevale import wire
 from stagevale.membership import clocks
+from stagevale.membership.downing import Downing
 from stagevale.membership.state import (
     COMPLETE,
     COUNTED,
@@ -26,12 +27,12 @@
     sort_key,
 )
 from stagevale.membership.suspicion import Suspicion
+from stagevale.membership.targets import FAR_TELLERS, choose_targets
 
 DATAGRAM_BYTES = 60000
 KEPT_CLOCKS = 24
 SAID_ROUNDS = 3
-FAR_TELLERS = 24.0
-GONE_SHARE = 8.0
+CONTACT_CHANCE = 0.03
 
 
 class Membership(asyncio.DatagramProtocol):
@@ -56,7 +57,7 @@
         "serial_hook",
         "started_ms",
         "keys",
-        "down_since_ms",
+        "downing",
         "written",
         "packed",
         "packed_of",
@@ -96,7 +97,7 @@
         self.serial_hook = None
         self.started_ms = context.now_ms()
         self.keys = {self.me.key: self.me}
-        self.down_since_ms = {}
+        self.downing = Downing(self)
         self.packed = {}
         self.packed_of = None
         self.whole_ms = {}
@@ -294,7 +295,9 @@
         if self.leader() != self.me.address:
             return
         if not settled:
-            self.bury()
+            members = self.downing.downed()
+            if members is not None:
+                self.make(self.state.changed(self.me.address, members=members))
             return
         members = dict(self.state.members)
         table, table_version, moves = self.state.table, self.state.table_version, self.state.moves
@@ -304,7 +307,7 @@
                 members[address] = member.at(UP)
                 changed = True
             elif member.state == EXITING or (
-                member.state == DOWN and (not member.core or self.gone(member, now_ms))
+                member.state == DOWN and (not member.core or self.downing.gone(member, now_ms))
             ):
                 members[address] = member.at(REMOVED)
                 changed = True
@@ -338,13 +341,6 @@
                 )
             )
 
-    def gone(self, member, now_ms):
-        """True for a core member that has been down so long that its machine must be taken for gone
-        for good.
-        """
-        since_ms = self.down_since_ms.setdefault(member.key, now_ms)
-        return now_ms - since_ms > self.context.settings.bounds.contact_ms * GONE_SHARE
-
     def recent(self, observer, heartbeat):
         """True where an observer may still say what it said at this heartbeat: one that still
         suspects says so each round, and what others pass on of one that no longer does would go
@@ -356,35 +352,6 @@
         behind = (row[1] - heartbeat) & 0xFFFF
         return behind < SAID_ROUNDS or behind >= 0x8000
 
-    def bury(self):
-        """Marks unreachable members down, where a majority of the core machines finds them
-        unreachable.
-        """
-        core = {
-            member.machine
-            for member in self.state.members.values()
-            if member.core and member.state != REMOVED
-        }
-        members = dict(self.state.members)
-        changed = False
-        for address in self.unreachable:
-            witnesses = {
-                observer.rpartition(":")[0]
-                for observer, (heartbeat, seen) in self.observed.items()
-                if address in seen
-                and observer not in self.unreachable
-                and self.recent(observer, heartbeat)
-                and observer in members
-                and members[observer].core
-            }
-            if self.me.core:
-                witnesses.add(self.me.machine)
-            if len(witnesses & core) * 2 > len(core) and members[address].state in COUNTED:
-                members[address] = members[address].at(DOWN)
-                changed = True
-        if changed:
-            self.make(self.state.changed(self.me.address, members=members))
-
     def complete_move(self, move):
         """Marks a pending move of this daemon as complete."""
         moves = tuple(
@@ -420,87 +387,18 @@
             )
 
     def gossip(self, now_ms, settled=False):
-        """Sends the overview: to a live member, sometimes to an unreachable one, a deputy, one that
-        differs.
-        """
-        random = self.context.random
+        """Sends the overview to this round's targets, and the state to contacts that are unknown."""
+        targets = sorted(choose_targets(self, settled))
+        if targets:
+            overview = self.overview()
+            for address in targets:
+                self.send_to(address, overview)
         live = [member for member in self.others() if member.address not in self.unreachable]
-        lost = [member for member in self.others() if member.address in self.unreachable]
-        overview = None
-        targets = set()
-        if live and not self.me.core and random.random() > self.far_share(live):
-            beside = [member for member in live if member.zone == self.me.zone] or live
-            targets.add(random.choice(beside).address)
-            differing = (
-                []
-                if settled
-                else [
-                    member
-                    for member in beside
-                    if self.rows.get(member.address, (0, 0, 0))[2] != self.state.mark
-                ]
-            )
-            if differing:
-                targets.add(random.choice(differing).address)
-        elif live:
-            beside = [member for member in live if member.zone == self.me.zone]
-            away = [member for member in live if member.zone != self.me.zone]
-            near = [member for member in away if member.region == self.me.region]
-            if beside:
-                targets.add(random.choice(beside).address)
-            chosen = random.choice(near if near and random.random() < 0.5 else away or beside)
-            targets.add(chosen.address)
-            differing = [
-                member
-                for member in live
-                if self.rows.get(member.address, (0, 0, 0))[2] != self.state.mark
-            ]
-            if differing:
-                targets.add(
-                    random.choice(
-                        self.nearest(differing) if len(live) > FAR_TELLERS else differing
-                    ).address
-                )
-            deputies = [member for member in self.state.sorted() if member.state in LEADING][1:3]
-            names = {member.address for member in deputies}
-            if (
-                chosen.address not in names
-                and deputies
-                and random.random() < (len(lost) + 0.2) / (len(live) + 1)
-            ):
-                targets.add(random.choice(deputies).address)
-        if lost and random.random() < len(lost) / (len(live) + 1.0) + 0.1:
-            targets.add(random.choice(lost).address)
-        downed = [member for member in self.others((DOWN,)) if member.core]
-        if downed and random.random() < 0.15:
-            targets.add(random.choice(downed).address)
-        targets.discard(self.me.address)
-        for address in sorted(targets):
-            overview = overview or self.overview()
-            self.send_to(address, overview)
         alone = self.state.members[self.me.address].state == JOINING or not live
-        if alone or random.random() < 0.03:
-            unknown = [
-                address
-                for address in self.contacts
-                if address not in self.state.members and address != self.me.address
-            ]
-            for address in unknown:
-                self.send_state(address)
-
-    def nearest(self, members):
-        """Those of the own zone among some members, else those of the own region, else all: in a
-        large fleet what differs is told there first, since each region has many who bring it on.
-        """
-        inside = [member for member in members if member.region == self.me.region]
-        beside = [member for member in inside if member.zone == self.me.zone]
-        return beside or inside or members
-
-    def far_share(self, live):
-        """How often a proxy's round goes beyond its own zone: in a large fleet the far talk of all
-        proxies together stays what a dozen of them have, and the core carries their heartbeats on.
-        """
-        return FAR_TELLERS / max(FAR_TELLERS, sum(1 for member in live if not member.core) + 1.0)
+        if alone or self.context.random.random() < CONTACT_CHANCE:
+            for address in self.contacts:
+                if address not in self.state.members and address != self.me.address:
+                    self.send_state(address)
 
     def overview(self, with_clock=False):
         """Heartbeats and versions of all members; the own clock goes along only where it was asked
@@ -558,21 +456,7 @@
         )
 
     def clock_bytes(self):
-        return wire.squeeze(
-            b"".join(
-                wire.pack_address(address) + struct.pack("!I", counter)
-                for address, counter in self.state.counted().items()
-            )
-        )
-
-    def read_clock(self, clock_bytes):
-        clock = {}
-        clock_bytes = wire.unsqueeze(clock_bytes)
-        for at in range(0, len(clock_bytes) - 9, 10):
-            clock[wire.unpack_address(clock_bytes[at : at + 6])] = struct.unpack_from(
-                "!I", clock_bytes, at + 6
-            )[0]
-        return clock
+        return clocks.pack_clock(self.state.counted())
 
     def packed_state(self, base=None, base_mark=0):
         """The state for a message, whole or what the holder of a clock lacks: JSON inside the
@@ -666,7 +550,7 @@
         if marks[0] == self.state.mark:
             return
         if clock_bytes:
-            theirs = self.read_clock(clock_bytes)
+            theirs = clocks.unpack_clock(clock_bytes)
             if clocks.compare(self.state.clock, theirs, self.state.removed()) == clocks.NEWER:
                 self.send_to(
                     sender,
@@ -689,7 +573,7 @@
         """
         if mark == self.state.mark:
             return
-        base = self.read_clock(clock_bytes) if clock_bytes else self.past.get(mark)
+        base = clocks.unpack_clock(clock_bytes) if clock_bytes else self.past.get(mark)
         if base is not None:
             self.send_state(sender, base, mark)
         else:
--- a/stagevale/membership/clocks.py
+++ b/stagevale/membership/clocks.py
@@ -1,7 +1,13 @@
 """Vector clocks as mappings from address to counter."""
 
+import struct
 import zlib
 
+from stagevale import wire
+
+ADDRESS_BYTES = 6
+ENTRY_BYTES = ADDRESS_BYTES + 4
+
 SAME, OLDER, NEWER, APART = "same", "older", "newer", "apart"
 
 
@@ -54,3 +60,22 @@
     return {
         address: counter for address, counter in mine.items() if counter > theirs.get(address, 0)
     }
+
+
+def pack_clock(clock):
+    """A clock as bytes for a message."""
+    entries = (
+        wire.pack_address(address) + struct.pack("!I", counter)
+        for address, counter in clock.items()
+    )
+    return wire.squeeze(b"".join(entries))
+
+
+def unpack_clock(data):
+    """The clock that `pack_clock` was given."""
+    clock = {}
+    data = wire.unsqueeze(data)
+    for at in range(0, len(data) - ENTRY_BYTES + 1, ENTRY_BYTES):
+        address = wire.unpack_address(data[at : at + ADDRESS_BYTES])
+        clock[address] = struct.unpack_from("!I", data, at + ADDRESS_BYTES)[0]
+    return clock
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -144,7 +144,7 @@
 def test_seeds_down_a_new_daemon_still_joins_through_remembered_peers():
     fleet = Fleet(7)
     assert fleet.world.until(lambda: fleet.formed(12), 20000)
-    assert fleet.world.until(lambda: len(fleet.stores[5].peers) >= 5, 5000)
+    assert fleet.world.until(lambda: len(fleet.stores[5].acceptor.vote.peers) >= 5, 5000)
     for number in (0, 1, 2):
         fleet.kill_core(number)
     fleet.world.kill(fleet.stores[5].context)
