Votes of the former release are read; the overview's packing stands in a module of its own

Cause: a store that found its vote in the former layout would have taken its disk for damaged, and with all of them the configuration for lost. Tests: a former vote on real files, a fleet that goes on with former votes; membership passed.

--- a/stagevale/configuration/value.py
+++ b/stagevale/configuration/value.py
@@ -130,9 +130,10 @@
 
 def read_value(packed):
     """A value out of its packed bytes."""
-    _, serial, version, config, evacuated, group, answered, offers, sessions, rollouts = (
-        wire.unpack(wire.unsqueeze(packed), "value", "a peer")
-    )
+    fields = wire.unpack(wire.unsqueeze(packed), "value", "a peer")[1:]
+    if isinstance(fields[5], dict):
+        return former_value(fields)
+    serial, version, config, evacuated, group, answered, offers, sessions, rollouts = fields
     return Value(
         serial,
         version,
@@ -145,3 +146,22 @@
         sessions_from(sessions),
         dict(rollouts),
     )
+
+
+def former_value(fields):
+    """A value as it was written while it held every version ever taken, by number."""
+    serial, version, config, evacuated, group, taken, *more = fields
+    record = AnsweredOrders()
+    for name in sorted(taken, key=lambda name: (not name.isdigit(), len(name), name)):
+        record = record.with_order(name, taken[name])
+    return Value(
+        serial,
+        version,
+        config,
+        evacuated,
+        group,
+        record,
+        offers=offers_from(more[0]) if more else None,
+        sessions=sessions_from(more[1]) if more else None,
+        rollouts=dict(more[2]) if len(more) > 2 else None,
+    )
--- a/stagevale/membership/__init__.py
+++ b/stagevale/membership/__init__.py
@@ -9,6 +9,7 @@
 from stagevale import wire
 from stagevale.membership import clocks
 from stagevale.membership.downing import Downing
+from stagevale.membership.overview import overview_rows, pack_overview
 from stagevale.membership.state import (
     COMPLETE,
     COUNTED,
@@ -401,59 +402,7 @@
                     self.send_state(address)
 
     def overview(self, with_clock=False):
-        """Heartbeats and versions of all members; the own clock goes along only where it was asked
-        for.
-
-        Where every member's row is known and all have seen this state, the rows are bare heartbeats
-        in sorted order: whoever has this state knows which is whose.
-        """
-        rows, mine, me = self.rows, self.state.mark, self.me.address
-        keys, beats, seen_marks = [], [], []
-        counting = self.state.counting()
-        for member in counting:
-            known = rows.get(member.address)
-            if member.address == me:
-                known = (self.me.uid, self.heartbeat, mine)
-            if known is not None and known[0] == member.uid:
-                keys.append(member.key)
-                beats.append(known[1] & 0xFFFF)
-                seen_marks.append(known[2])
-        keyed = with_clock or len(keys) < len(counting) or seen_marks.count(mine) < len(seen_marks)
-        marks = [mine]
-        told = struct.pack(f"!{len(beats)}H", *beats)
-        if keyed:
-            marks += [mark for mark in dict.fromkeys(seen_marks) if mark != mine][:254]
-            place = {mark: at for at, mark in enumerate(marks)}
-            told += struct.pack(f"!{len(keys)}I", *keys) + bytes(
-                place.get(mark, 255) for mark in seen_marks
-            )
-        seen = (
-            [[self.me.address, self.heartbeat, sorted(self.unreachable)]]
-            if self.unreachable
-            else []
-        )
-        for observer, (heartbeat, addresses) in self.observed.items():
-            member = self.state.members.get(observer)
-            if (
-                addresses
-                and member is not None
-                and member.core
-                and observer not in self.unreachable
-                and self.recent(observer, heartbeat)
-            ):
-                seen.append([observer, heartbeat, sorted(addresses)])
-        return wire.pack(
-            [
-                wire.OVERVIEW,
-                self.me.address,
-                self.clock_bytes() if with_clock else b"",
-                struct.pack(f"!{len(marks)}I", *marks),
-                told,
-                json.dumps(seen) if seen else "",
-                self.serial,
-                int(keyed),
-            ]
-        )
+        return pack_overview(self, with_clock)
 
     def clock_bytes(self):
         return clocks.pack_clock(self.state.counted())
@@ -520,7 +469,7 @@
         now_ms = self.context.now_ms()
         marks = struct.unpack(f"!{len(mark_bytes) // 4}I", mark_bytes)
         rows, suspicions, me = self.rows, self.suspicions, self.me.address
-        for member, heartbeat, mark in self.rows_of(row_bytes, marks, keyed):
+        for member, heartbeat, mark in overview_rows(self, row_bytes, marks, keyed):
             address = member.address
             known = rows.get(address)
             if known is not None and known[0] == member.uid:
@@ -591,28 +540,6 @@
         theirs = from_message(json.loads(wire.unsqueeze(packed)))
         self.heard_state(sender, theirs, mark, self.past[base_mark] if base_mark else {})
 
-    def rows_of(self, row_bytes, marks, keyed):
-        """The rows of an overview: (member, heartbeat, its mark)."""
-        if not keyed:
-            counting = self.state.counting()
-            if marks[0] != self.state.mark or len(row_bytes) != 2 * len(counting):
-                return ()
-            return zip(
-                counting,
-                struct.unpack(f"!{len(counting)}H", row_bytes),
-                [marks[0]] * len(counting),
-                strict=False,
-            )
-        count = len(row_bytes) // 7
-        beats = struct.unpack_from(f"!{count}H", row_bytes)
-        keys = struct.unpack_from(f"!{count}I", row_bytes, 2 * count)
-        known = self.keys
-        return [
-            (known[key], beat, marks[at])
-            for key, beat, at in zip(keys, beats, row_bytes[6 * count :], strict=False)
-            if key in known and at < len(marks)
-        ]
-
     def heard_state(self, sender, theirs, mark=None, base=None):
         """Takes in another's state, given on top of `base`: both are joined, and the sender gets
         what it lacks.
--- a/stagevale/register/acceptor.py
+++ b/stagevale/register/acceptor.py
@@ -60,6 +60,8 @@
             return
         if vote is not None:
             self.vote = vote
+            if not vote.voter:
+                self.changed(voter=node.address)
             node.context.log.info(
                 "%s: loaded version %d as voter %s.",
                 node.prefix,
--- a/stagevale/register/storage.py
+++ b/stagevale/register/storage.py
@@ -5,6 +5,7 @@
 
 SNAPSHOT, INCREMENT = 0, 1
 INCREMENTS_PER_SNAPSHOT = 24
+FORMER_FIELDS = 4
 
 
 class Vote:
@@ -82,7 +83,11 @@
 
 
 def read_vote(fields, read_value):
-    """The vote out of a snapshot's fields."""
+    """The vote out of a snapshot's fields; one written before voters had identities has none yet."""
+    if len(fields) == FORMER_FIELDS:
+        promised, accepted_ballot, packed, peers = fields
+        accepted = read_value(packed) if packed else None
+        return Vote("", (), as_ballot(promised), as_ballot(accepted_ballot), accepted, peers)
     voter, founders, promised, accepted_ballot, packed, peers = fields
     accepted = read_value(packed) if packed else None
     return Vote(voter, founders, as_ballot(promised), as_ballot(accepted_ballot), accepted, peers)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,6 +8,7 @@
 
 from stagevale.configuration import answered
 from stagevale.register.reconfiguration import GONE_SHARE
+from stagevale.register.storage import Vote
 
 REPLACED_MS = 4000 * GONE_SHARE + 4000
 
@@ -207,6 +208,24 @@
     )
 
 
+def test_stores_of_the_former_release_go_on_with_what_they_held():
+    fleet = settled_fleet(seed=24)
+    for number in range(6):
+        fleet.kill_core(number)
+        disk = fleet.world.disks[address(number)]
+        disk.kept = Vote(
+            "",
+            (),
+            disk.kept.promised,
+            disk.kept.accepted_ballot,
+            disk.kept.accepted,
+            disk.kept.peers,
+        )
+    for number in range(6):
+        fleet.start_core(number, False)
+    assert read_version(fleet, range(6)) == "r1"
+
+
 # a control machine that is cut off, or stood still
 
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -7,6 +7,7 @@
 import pytest
 from test_disk import states
 
+from stagevale import wire
 from stagevale.configuration.answered import AnsweredOrders
 from stagevale.configuration.disk import Folder, NumberedTables
 from stagevale.configuration.text_delta import apply_text_delta, text_delta
@@ -173,3 +174,26 @@
     assert record.holds("399", "h399") and not record.holds("399", "h1")
     assert record.uncertain(143) and not record.uncertain(144)
     assert record.holds("144", "h144") and not record.holds("143", "h143")
+
+
+def test_a_vote_written_before_voters_had_identities_is_read(tmp_path):
+    """Its value held every version ever taken, by number."""
+    taken = {"2": "a" * 24, "10": "b" * 24, "shop/1": "c" * 24}
+    value = [0, 7, 10, routes(2, 10), ["a1"], ["10.0.0.1:7201"], taken]
+    record = [
+        0,
+        [4, "10.0.0.1:7201#x"],
+        [3, "y#z"],
+        wire.squeeze(wire.pack(value)),
+        ["10.0.0.2:7200"],
+    ]
+    NumberedTables(Folder(str(tmp_path))).write(9, wire.pack(record))
+    vote = open_storage(tmp_path).load()
+    assert (vote.voter, vote.promised, vote.peers) == (
+        "",
+        (4, "10.0.0.1:7201#x"),
+        ("10.0.0.2:7200",),
+    )
+    assert vote.accepted.version == 10 and vote.accepted.evacuated == ("a1",)
+    assert all(vote.accepted.answered.holds(name, hashed) for name, hashed in taken.items())
+    assert read_value(vote.accepted.packed).mark == vote.accepted.mark
