--- a/stagevale/configuration/value.py
+++ b/stagevale/configuration/value.py
@@ -15,6 +15,7 @@
     "sessions",
     "rollouts",
 )
+CONFIG_FIELD = 2
 
 
 class Value(RegisterValue):
@@ -57,6 +58,12 @@
             self.rollouts,
         ]
 
+    def mark_parts(self):
+        """The configuration's text as it is: packing it costs more than hashing it."""
+        fields = self.fields()
+        fields[CONFIG_FIELD] = len(self.config)
+        return wire.pack([0, *fields]), self.config.encode()
+
     def offers_fields(self):
         return {name: list(row) for name, row in self.offers.items()}
 
--- a/stagevale/register/replication.py
+++ b/stagevale/register/replication.py
@@ -14,12 +14,13 @@
 class Replication:
     """Brings the leader's value to the voters and keeps track of what each of them holds."""
 
-    __slots__ = ("node", "held", "unconfirmed")
+    __slots__ = ("node", "held", "unconfirmed", "last_delta")
 
     def __init__(self, node):
         self.node = node
         self.held = {}
         self.unconfirmed = 0
+        self.last_delta = None, None, None
 
     def begin(self):
         """A new leadership: nothing is known yet of what the voters hold."""
@@ -28,16 +29,24 @@
 
     # accepting
 
+    def payload(self, voter, before, value):
+        """What a voter has to be sent of a value: (mark of what it changes, bytes); the mark is empty
+        for all of it. The delta is computed once for all voters.
+        """
+        if before is None or not voter or self.held.get(voter) != before.mark:
+            return b"", value.packed
+        if self.last_delta[0] is not before or self.last_delta[1] is not value:
+            self.last_delta = before, value, value.delta(before)
+        delta = self.last_delta[2]
+        return (before.mark, delta) if delta is not None else (b"", value.packed)
+
     def send(self, voter, address, before, value, answered):
         """Sends a value to one voter: what changed where it holds `before`, else all of it. Calls
         `answered(voter, Accepted or None, failure)` once.
         """
         node = self.node
         ballot = node.ballot
-        delta = None
-        if before is not None and voter and self.held.get(voter) == before.mark:
-            delta = value.delta(before)
-        base, data = (before.mark, delta) if delta is not None else (b"", value.packed)
+        base, data = self.payload(voter, before, value)
         deadline_ms = node.call_ms + len(data) / BYTES_PER_MS
 
         def got(answer, failure):
--- a/stagevale/register/value.py
+++ b/stagevale/register/value.py
@@ -33,10 +33,16 @@
     def mark(self):
         """A hash that is equal for equal values only."""
         if self.kept_mark is None:
-            image = wire.pack([0, *self.fields()])
-            self.kept_mark = hashlib.blake2b(image, digest_size=MARK_BYTES).digest()
+            hashed = hashlib.blake2b(digest_size=MARK_BYTES)
+            for part in self.mark_parts():
+                hashed.update(part)
+            self.kept_mark = hashed.digest()
         return self.kept_mark
 
+    def mark_parts(self):
+        """The bytes that the mark is computed from."""
+        return (wire.pack([0, *self.fields()]),)
+
     def delta(self, base):
         """The bytes that lead from another value to this one, or None where all is sent instead."""
         return None
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -18,6 +18,7 @@
 from stagevale import wire  # noqa: E402
 from stagevale.balancing import Chooser, Target  # noqa: E402
 from stagevale.balancing.snapshot import empty_snapshot  # noqa: E402
+from stagevale.configuration.answered import AnsweredOrders  # noqa: E402
 from stagevale.configuration.value import Value, read_value  # noqa: E402
 from stagevale.leases import Lease  # noqa: E402
 from stagevale.membership import Membership  # noqa: E402
@@ -263,6 +264,32 @@
     }
 
 
+def change_row(routes, tenants, services):
+    """What one change of one route costs a store: sent and written as a change, or whole."""
+    table = configuration_of(routes, tenants, services)
+    text = json.dumps(table, separators=(",", ":"))
+    before = Value(9, 9, text, (), (), AnsweredOrders().with_order("9", "f" * 24))
+    table["version"], table["routes"][routes // 2]["timeoutMs"] = "r10", 2500
+    text = json.dumps(table, separators=(",", ":"))
+    answered = before.answered.with_order("10", "e" * 24)
+    after = before.after(version=10, config=text, answered=answered)
+    marks, mark_ms = timed(lambda: (before.mark, after.mark))
+    delta, delta_ms = timed(lambda: after.delta(before))
+    applied, apply_ms = timed(lambda: before.applied(delta))
+    whole, whole_ms = timed(lambda: len(after.packed))
+    assert applied.mark == marks[1]
+    return {
+        "routes": routes,
+        "tenants": tenants,
+        "deltaBytes": len(delta),
+        "wholeBytes": whole,
+        "markMs": mark_ms,
+        "deltaMs": delta_ms,
+        "applyMs": apply_ms,
+        "wholeMs": whole_ms,
+    }
+
+
 def endpoints_row(endpoints, services, zones=9):
     """What a registry holds of endpoints, and what a proxy is told when it starts."""
 
@@ -465,6 +492,9 @@
         configuration_row(n, n * 17 // 3, max(1, n * 8 // 75))
         for n in sizes or (3000, 10000, 30000)
     ],
+    "changes": lambda sizes: [
+        change_row(n, n * 17 // 3, max(1, n * 8 // 75)) for n in sizes or (3000, 10000, 30000)
+    ],
     "endpoints": lambda sizes: [
         endpoints_row(n, max(1, n // 22)) for n in sizes or (7000, 23000, 70000)
     ],
