--- a/tests/test_register_model.py
+++ b/tests/test_register_model.py
@@ -51,10 +51,10 @@
 
 GUARDS = {
     # what is taken out: troubles, the first seed, schedules within which it has to be found
-    confirms_without_asking: (None, 1, 8),
+    confirms_without_asking: (None, 10, 4),
     forgets_changes: (None, 1, 2),
     answers_before_the_disk: (["power_in_stall", "kill"], 1, 4),
-    keeps_the_identity: (["closing_behind"], 10, 4),
+    keeps_the_identity: (["closing_behind"], 28, 4),
     loads_snapshots_only: (["power", "kill"], 1, 2),
 }
 
