--- a/stagevale/register/node.py
+++ b/stagevale/register/node.py
@@ -14,10 +14,10 @@
     Prepare,
     Resigned,
 )
-from stagevale.register.orders import UNAVAILABLE, OrderQueue, voter_addresses
+from stagevale.register.orders import UNAVAILABLE, OrderQueue
 from stagevale.register.reconfiguration import Reconfiguration
 from stagevale.register.replication import Replication, group_mark
-from stagevale.register.voters import address_of
+from stagevale.register.voters import address_of, addresses_of
 
 BACKOFF_BEATS = (0.1, 0.4)
 BEATS_PER_CONTACT = 4.0
@@ -217,12 +217,12 @@
 
     def known_addresses(self):
         """Where others of this register may be found: voters, members, seeds."""
-        found = voter_addresses(self.known_group or self.group(), self.address)
+        found = list(addresses_of(self.known_group or self.group()))
         found += [
             m.address for m in self.membership.members(self.program) if m.address != self.address
         ]
-        found += [address for address in self.seed_addresses() if address != self.address]
-        return list(dict.fromkeys(found))
+        found += self.seed_addresses()
+        return [address for address in dict.fromkeys(found) if address != self.address]
 
     def audience(self):
         """Who hears of a confirmed leader: every daemon of the core that is reachable."""
--- a/stagevale/register/orders.py
+++ b/stagevale/register/orders.py
@@ -2,7 +2,6 @@
 
 from stagevale.ballots import NO_BALLOT
 from stagevale.register.messages import LeaderInfo
-from stagevale.register.voters import address_of
 from stagevale.wire import ORDER, READ_VALUE, WHO_LEADS
 from stagevale.wire.switchboard import LATE
 
@@ -183,8 +182,3 @@
                 self.pass_on(leader, order)
         elif node.is_voter():
             node.election.campaign()
-
-
-def voter_addresses(group, own_address):
-    """The addresses of a group's voters without one's own."""
-    return [address_of(voter) for voter in group if address_of(voter) != own_address]
--- a/stagevale/register/replication.py
+++ b/stagevale/register/replication.py
@@ -124,11 +124,10 @@
         ballot = node.ballot
         group = node.chosen.group if node.chosen is not None else node.group()
         running = Round(ballot, group)
-        behind = []
 
         def answered(voter, answer, failure):
             if answer is not None:
-                self.heard_from(voter, answer, ballot, behind)
+                self.heard_from(voter, answer, ballot)
             if running.over:
                 return
             if answer is None:
@@ -147,7 +146,7 @@
         for voter in group:
             node.ask_voter(voter, CONFIRM, Confirm(ballot, voter), Confirmation, answered)
 
-    def heard_from(self, voter, answer, ballot, behind):
+    def heard_from(self, voter, answer, ballot):
         """Notes what a voter holds; one that lost its disk is replaced, one that is behind gets the
         value again.
         """
@@ -159,7 +158,6 @@
             return
         self.held[voter] = answer.mark
         if answer.mark != node.chosen.mark and not node.busy and answer.promised <= ballot:
-            behind.append(voter)
             self.send(voter, address_of(voter), None, node.chosen, lambda *answered: None)
 
     def beacon(self):
