--- a/stagevale/forwarding/__init__.py
+++ b/stagevale/forwarding/__init__.py
@@ -647,8 +647,8 @@
                 self.context.soon(self.pump, carrier.target.service)
 
     def abandon(self, request):
-        """The client has gone: a repeatable request ends, another runs on and its answer is
-        dropped.
+        """The client has gone: a repeatable request ends; another ends too while nothing of it was
+        written, else it runs on and its answer is dropped.
         """
         if request.answer is not None:
             return
@@ -658,10 +658,12 @@
         queue = self.waiting.get(request.service)
         if queue and request in queue:
             queue.remove(request)
-        if request.timer is not None and (request.route.pure or not request.carriers):
+        unwritten = request.note is None and all(c.transport is None for c in request.carriers)
+        ends = request.route.pure or unwritten
+        if request.timer is not None and ends:
             request.timer.cancel()
         self.running -= 1
-        if request.route.pure:
+        if ends:
             self.drop(request)
 
     def unheard(self, request, state, answer=None):
--- a/stagevale/forwarding/client.py
+++ b/stagevale/forwarding/client.py
@@ -187,9 +187,7 @@
         while self.requests and self.requests[0].answer is not None:
             request = self.requests.popleft()
             if not self.write(request):
-                for later in self.requests:
-                    self.forwarder.abandon(later)
-                self.requests.clear()
+                self.abandon_all()
                 return
         if self.requests and not self.requests[0].begun:
             self.forwarder.begin(self.requests[0])
@@ -240,12 +238,18 @@
         return True
 
     def eof_received(self):
+        """The client has closed its side: it has gone, and what it waited for is given up."""
         self.last_read = True
-        return bool(self.requests)
+        self.abandon_all()
+        return False
 
     def connection_lost(self, failure):
         self.unwatch()
         self.forwarder.connections.discard(self)
+        self.abandon_all()
+
+    def abandon_all(self):
+        """Gives up every request that was read and isn't answered yet."""
         for request in self.requests:
             self.forwarder.abandon(request)
         self.requests.clear()
--- a/stagevale/forwarding/endpoint.py
+++ b/stagevale/forwarding/endpoint.py
@@ -56,6 +56,8 @@
         "written",
         "closing",
         "surplus",
+        "ended",
+        "carried",
     )
 
     def __init__(self, forwarder, target):
@@ -73,6 +75,8 @@
         self.written = False
         self.closing = False
         self.surplus = 0
+        self.ended = False
+        self.carried = 0
 
     def open(self, request):
         """Opens the connection and then sends the request."""
@@ -154,6 +158,7 @@
             self.forwarder.unoffered(request, self.target)
             return
         self.written = True
+        self.carried += 1
         self.forwarder.sent(request, self.target)
         self.transport.write(data)
 
@@ -203,6 +208,9 @@
         )
         id = fields.get(b"attempt-id")
         not_run = b"not-run" in fields or head.status_code == 421
+        if id is None and not_run and self.carried > 1 and not request.route.pure:
+            self.fail("a refusal without an id, perhaps of a request before this one")
+            return False
         if id != request.attempt_id and not (id is None and not_run):
             if (
                 id is None
@@ -223,7 +231,7 @@
             if rest:
                 self.parser.receive_data(rest)
             return True
-        if not framed:
+        if not framed and not self.ended:
             self.fail("an answer without a length")
             return False
         headers = [
@@ -241,6 +249,7 @@
             and self.parser.our_state is h11.DONE
             and not self.parser.trailing_data[0]
             and not self.surplus
+            and not self.transport.get_write_buffer_size()
         )
         if reusable:
             self.parser.start_next_cycle()
@@ -290,6 +299,8 @@
             self.target.open -= 1
 
     def eof_received(self):
+        """The endpoint ended the connection in order: an answer without a length is whole now."""
+        self.ended = True
         if self.request is not None:
             self.parser.receive_data(b"")
             self.read()
--- a/tests/simworld.py
+++ b/tests/simworld.py
@@ -51,6 +51,7 @@
         self.world, self.mine, self.theirs, self.protocol = world, mine, theirs, protocol
         self.silence_ms, self.local = silence_ms, local
         self.other, self.closed, self.last_at, self.held = None, False, 0.0, None
+        self.unsent_bytes = 0
 
     def is_closing(self):
         return self.closed
@@ -58,6 +59,9 @@
     def get_extra_info(self, name, default=None):
         return default
 
+    def get_write_buffer_size(self):
+        return self.unsent_bytes
+
     def pause_reading(self):
         self.held = self.held or []
 
--- /dev/null
+++ b/tools/draw_days.py
@@ -0,0 +1,193 @@
+"""Draws days of trouble from every kind that the bench lists, for days of our own.
+
+    python3 tools/draw_days.py KINDS OUT [--days N] [--seed N] [--length S] [--only KIND,...]
+
+KINDS is a file with what `fleetbench kinds SITE` prints: only kinds that it lists are drawn. Each day
+is a file `OUT/drawn-SEED.toml`, played with `fleetbench run SITE FILE`.
+"""
+
+import argparse
+import os
+import random
+import re
+
+KIND_LINE = re.compile(r"^([a-z_]+): ", re.MULTILINE)
+PLANNED = {"release", "scale_in", "scale_out", "config_change", "evacuate", "hup", "seed_turnover"}
+LATEST_SHARE = 0.75
+
+CUT_WAYS = ("leader", "leader meet", "leader race", "race", "all", "near", "one_way", "seeds")
+CUT_WAYS += ("both", "lure", "oldest", "reset", "refuse", "leader race drain")
+TERM_WAYS = ("", "remove", "hard", "busy", "turn")
+KILL_WAYS = ("", "power", "leader", "leader race", "meet drain", "reader", "seed")
+ACK_WAYS = ("", "kill", "timed", "taken", "taken gone")
+
+# What may stand in an entry of each kind: fields with the values to draw from.
+ENTRIES = {
+    "core_cut": {"count": (1, 1, 2), "for_s": (3.0, 6.0, 12.0, 20.0), "how": CUT_WAYS},
+    "node_cut": {"share": (0.1, 0.2), "for_s": (3.0, 6.0), "how": ("", "all", "servers")},
+    "zone_cut": {"for_s": (3.0, 6.0, 12.0)},
+    "zone_loss": {"for_s": (4.0, 6.0), "how": ("", "race drain hard", "meet")},
+    "region_loss": {"for_s": (4.0, 6.0)},
+    "replace_core": {"x": (0.5, 1.0, 3.0), "how": ("", "oldest", "planned")},
+    "roll_term": {"on": ("core", "core", None), "gap_s": (1.0, 1.5, 3.0), "how": TERM_WAYS},
+    "after_ack_kill": {"for_s": (2.0, 4.0), "count": (1, 2), "how": ACK_WAYS},
+    "after_ack_wipe": {"for_s": (2.0, 4.0), "how": ("", "oldest", "timed")},
+    "herd_kill": {
+        "on": ("core", None),
+        "share": (0.5, 1.0),
+        "for_s": (1.0, 3.0),
+        "how": ("", "power", "taken"),
+    },
+    "node_kill": {"on": ("core", None), "count": (1, 2), "for_s": (2.0, 4.0), "how": KILL_WAYS},
+    "node_freeze": {
+        "on": ("core", None),
+        "count": (1, 2),
+        "for_s": (2.0, 6.0, 20.0),
+        "how": ("", "leader"),
+    },
+    "node_slow": {"on": ("core", None), "count": (1, 2), "x": (5.0,), "for_s": (4.0,)},
+    "disk_slow": {"count": (1, 2), "x": (30.0,), "for_s": (6.0,)},
+    "disk_stall": {"count": (1, 2), "for_s": (4.0, 8.0), "how": ("", "leader")},
+    "disk_full": {"count": (1, 2), "for_s": (4.0, 8.0), "how": ("", "leader")},
+    "clock_step": {
+        "x": (2000.0, 20000.0),
+        "share": (0.3, 0.6),
+        "for_s": (6.0,),
+        "how": ("back", "ahead"),
+    },
+    "reset_conns": {"on": ("core", None), "share": (0.3, 1.0), "x": (0.5, 1.0)},
+    "seed_turnover": {},
+    "hup": {"share": (0.3, 1.0), "gap_s": (2.0,)},
+    "ack_lost": {"x": (0.7, 0.9), "for_s": (10.0, 25.0)},
+    "config_change": {"how": ("route", "weights", "timeout", "idle")},
+    "config_race": {"count": (1, 3, 6), "gap_s": (0.3, 1.2)},
+    "bad_config": {"count": (3, 6), "gap_s": (0.5, 1.0)},
+    "evacuate": {"for_s": (3.0, 8.0), "how": ("", "warm")},
+    "answer_lost": {"share": (0.5,), "x": (0.03, 0.05), "for_s": (6.0,), "how": ("", "reset")},
+    "garble": {
+        "share": (0.5,),
+        "x": (0.03,),
+        "for_s": (6.0,),
+        "how": ("", "extra", "extra late", "unframed", "early"),
+    },
+    "give_up": {"share": (0.3, 0.6), "for_s": (8.0,)},
+    "retry_abuse": {"share": (0.2,), "x": (2.0,), "for_s": (6.0,)},
+    "burst": {"x": (2.0,), "for_s": (4.0,)},
+    "srv_crash": {"share": (0.15, 0.3), "for_s": (4.0,), "how": ("", "dark", "gone")},
+    "srv_slow": {"share": (0.15,), "x": (4.0,), "for_s": (6.0,)},
+    "srv_grey": {
+        "share": (0.15,),
+        "x": (0.4,),
+        "for_s": (6.0,),
+        "how": ("errors", "hang", "reset", "mute", "shed"),
+    },
+    "srv_lying_health": {"share": (0.15,), "for_s": (6.0,), "how": ("errors", "hang", "bad")},
+    "srv_flap": {"share": (0.15,), "gap_s": (1.5,), "for_s": (6.0,)},
+    "release": {"share": (0.4,), "x": (1.0,), "gap_s": (1.0,)},
+    "replace_with_reuse": {"share": (0.15,), "how": ("", "drain", "dark")},
+    "scale_in": {"share": (0.15,), "how": ("", "spot")},
+    "scale_out": {"share": (0.3,), "gap_s": (4.0,)},
+    "cold_return": {"for_s": (4.0,), "how": ("", "dark")},
+    "idle_race": {"share": (0.5,), "x": (300.0,), "for_s": (6.0,)},
+    "kill_leader": {"for_s": (3.0,), "how": ("kill", "freeze", "power", "cut")},
+    "cloud_down": {"for_s": (5.0,), "how": ("silent", "busy", "reset")},
+    "cloud_slow": {"x": (50.0,), "for_s": (5.0,)},
+    "revoke": {"count": (1, 2), "gap_s": (1.0,)},
+}
+CLOSINGS = (
+    {"kind": "power_off_all", "down_s": 1.2},
+    {"kind": "kill_all", "down_s": 0.6},
+    {"kind": "wipe_after_ack", "down_s": 1.0},
+    {"kind": "wipe_after_ack", "down_s": 1.0, "how": "timed"},
+    {"kind": "wipe_after_ack", "down_s": 1.0, "how": "taken"},
+    {"kind": "wipe_after_ack", "down_s": 1.0, "how": "oldest"},
+)
+CONTROL = (
+    "core_cut",
+    "replace_core",
+    "roll_term",
+    "after_ack_kill",
+    "after_ack_wipe",
+    "herd_kill",
+    "config_race",
+    "ack_lost",
+    "config_change",
+    "reset_conns",
+    "node_freeze",
+    "disk_stall",
+    "disk_full",
+    "clock_step",
+)
+
+
+def toml_value(value):
+    return f'"{value}"' if isinstance(value, str) else str(value)
+
+
+def toml_table(fields):
+    return (
+        "{ " + ", ".join(f"{name} = {toml_value(value)}" for name, value in fields.items()) + " }"
+    )
+
+
+def entry(draw, kind, at_s):
+    """One entry of a day: a kind with drawn fields."""
+    fields = {"at": round(at_s, 2), "kind": kind}
+    for name, values in ENTRIES[kind].items():
+        value = draw.choice(values)
+        if value is not None and value != "":
+            fields[name] = value
+    return fields
+
+
+def draw_day(seed, kinds, length_s):
+    """The text of a day's file: troubles of the control side for the most part, and a closing."""
+    draw = random.Random(seed)
+    control = [kind for kind in CONTROL if kind in kinds]
+    others = [kind for kind in kinds if kind not in CONTROL]
+    picked = draw.choices(control, k=draw.randint(3, 6)) + draw.choices(
+        others or control, k=draw.randint(1, 3)
+    )
+    if "config_change" in kinds:
+        picked += ["config_change"] * draw.randint(2, 6)
+    entries = [entry(draw, kind, draw.uniform(1.0, length_s * LATEST_SHARE)) for kind in picked]
+    plan = [row for row in entries if row["kind"] in PLANNED]
+    faults = [row for row in entries if row["kind"] not in PLANNED]
+    lines = [f'name = "drawn-{seed}"', 'slot = "trouble"', f"seed = {seed}"]
+    if draw.random() < 0.6:
+        lines.append(f"closing = {toml_table(draw.choice(CLOSINGS))}")
+    for name, rows in (("plan", plan), ("faults", faults)):
+        lines.append(f"{name} = [")
+        lines += [f"  {toml_table(row)}," for row in sorted(rows, key=lambda row: row["at"])]
+        lines.append("]")
+    return "\n".join(lines) + "\n"
+
+
+def listed_kinds(text):
+    """The kinds of entries that the bench lists and this tool knows."""
+    return [kind for kind in KIND_LINE.findall(text) if kind in ENTRIES]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("kinds", help="a file with what the bench lists")
+    parser.add_argument("out", help="the folder for the days")
+    parser.add_argument("--days", type=int, default=3)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--length", type=float, default=32.0, help="seconds of traffic")
+    parser.add_argument("--only", default="", help="kinds to draw from, with commas between")
+    options = parser.parse_args()
+    with open(options.kinds, encoding="utf-8") as file:
+        kinds = listed_kinds(file.read())
+    if options.only:
+        kinds = [kind for kind in kinds if kind in options.only.split(",")]
+    os.makedirs(options.out, exist_ok=True)
+    for seed in range(options.seed, options.seed + options.days):
+        path = os.path.join(options.out, f"drawn-{seed}.toml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(draw_day(seed, kinds, options.length))
+        print(path)
+
+
+if __name__ == "__main__":
+    main()
