--- a/review/1/case.py
+++ b/review/1/case.py
@@ -140,8 +140,8 @@
         raise CannotRunError("the zone can't be emptied")
     await asyncio.sleep(2.0)
 
-    # Three pairs of changes on the same version and, while the leader has them in its queue, the
-    # order to take the zone back: seven orders at once.
+    # Two pairs of changes on the same version and, while the leader has them in its queue, the
+    # order to take the zone back: five orders at once.
     changes = [
         Order(
             record,
@@ -149,7 +149,7 @@
             json.dumps(config(2 + number // 2, 1, 2001 + number)),
             [leader, *others],
         )
-        for number in range(6)
+        for number in range(4)
     ]
     orders = [asyncio.create_task(change.give()) for change in changes]
 
@@ -163,8 +163,8 @@
     await answered(1, 3.0)
     finish = Order(record, f"{path}/finish", None, [leader, *others])
     orders.append(asyncio.create_task(finish.give()))
-    # The leader has answered two more since: it has read its sockets, and has the order waiting.
-    await answered(3, 3.0)
+    # The leader has answered one more since: it has read its sockets, and has the order waiting.
+    await answered(2, 3.0)
     if finish.status is not None:
         raise CannotRunError("the order was carried out before the freeze")
     if trouble:
