Commands: a late copy is told by the value that its daemon knew, not by time

Cause: evacuations, withdrawals of offers and moves of rollouts don't name the state that they follow, and only time told that a copy is late: a second from the moment at which a registry read it. Nothing bounds the time before that (a registry frozen alone for 1.1 s of the 1.25 s that it notices, a cut link that holds an order back), the time left was reckoned when a frame was written, and a caller whose connection is reset, or whose registry restarts, goes on long before the second is over.

Change: a command bears its basis, the newest value that its registry held before the order can have been sent (when its connection was accepted or the call before it answered); a leader refuses one that would change a zone, an offer or a rollout that another command changed after that. The operator gets 503 and sends it again. An order whose connection's end lies right behind it isn't carried out.

Why it works: what is acknowledged after an order was given up is committed after the order's basis, whatever clocks and links do.

The bite test of the caller's time now takes out both guards, since each alone keeps a late order from its effect; a bite test of the basis alone is new, with an operator whose connections are reset under way.

--- a/stagevale/api/http_connection.py
+++ b/stagevale/api/http_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import unquote
 
@@ -18,11 +19,16 @@
 
 
 class HttpConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    A call can have been sent at any time since the connection came up or the call before it was
+    answered, and may have been held up on its way since.
+    """
 
     __slots__ = (
         "context",
         "dispatch",
+        "current_serial",
         "transport",
         "_parser",
         "_request",
@@ -31,11 +37,28 @@
         "_busy",
         "_idle_timer",
         "_idle_ms",
+        "_basis_serial",
+        "_ended",
     )
 
-    def __init__(self, context: Context, dispatch: Dispatch) -> None:
+    def __init__(
+        self,
+        context: Context,
+        dispatch: Dispatch,
+        current_serial: Callable[[], int | None] = lambda: None,
+    ) -> None:
+        """Makes the protocol of a connection that was just accepted.
+
+        Args:
+            context: the daemon's.
+            dispatch: handles calls.
+            current_serial: the `Call.basis_serial` of a call that is sent now.
+        """
         self.context = context
         self.dispatch = dispatch
+        self.current_serial = current_serial
+        self._basis_serial = current_serial()
+        self._ended = False
         self.transport: asyncio.Transport | None = None
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD_BYTES)
         self._request: h11.Request | None = None
@@ -55,6 +78,9 @@
             self._idle_timer.cancel()
         self._idle_timer = self.context.call_later(self._idle_ms, self._close)
 
+    def _is_open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
     def _close(self) -> None:
         if self.transport is not None:
             self.transport.close()
@@ -129,7 +155,10 @@
                 self._answer(status, body)
 
         try:
-            self.dispatch(Call(method, segments, query, b"".join(self._body)), answer)
+            call = Call(
+                method, segments, query, b"".join(self._body), self._basis_serial, self._is_open
+            )
+            self.dispatch(call, answer)
         except Exception:  # noqa: BLE001 - the edge of a call: the caller gets a 500
             self.context.log.exception("calls: %s %s failed.", method, path)
             answer(http.HTTPStatus.INTERNAL_SERVER_ERROR.value, {"error": "this call failed here"})
@@ -155,6 +184,8 @@
             transport.close()
             return
         self._parser.start_next_cycle()
+        if not self._parser.trailing_data[0]:
+            self._basis_serial = self.current_serial()
         self._busy = False
         self._restart_idle_timer()
         self._read()
--- a/stagevale/api/registry_api.py
+++ b/stagevale/api/registry_api.py
@@ -23,7 +23,7 @@
 )
 from stagevale.api.session_view import SessionView
 from stagevale.api.status_page import status_page
-from stagevale.configuration.commands import OK, CommandKind
+from stagevale.configuration.commands import OK, UNVERSIONED_COMMANDS, CommandKind
 from stagevale.discovery.registry_service import RegistryService
 from stagevale.placement.fronts import MOST_FRONTS
 
@@ -33,6 +33,9 @@
 MOST_ROLLOUT_BYTES = 64 * 1024
 ROLLOUT_MOVES = ("pause", "resume", "promote", "rollback")
 ROLLOUT_END = "end"
+# What had arrived behind a call has been read after so many turns of the event loop: a turn reads a
+# socket once.
+TURNS_UNTIL_END = 2
 # Arguments of a command are separated by line ends, so no name may hold one.
 ARGUMENT_SEPARATOR = "\n"
 
@@ -106,8 +109,30 @@
             Resource(("stand",), {"GET": self._show_status}),
         ]
 
-    def _command(self, kind: CommandKind, payload: str, answer: Answer) -> None:
-        self.service.configuration.send_command(kind, payload, answer_command(answer))
+    def _command(self, kind: CommandKind, payload: str, call: Call, answer: Answer) -> None:
+        if kind in UNVERSIONED_COMMANDS:
+            self._forward_if_caller_waits(TURNS_UNTIL_END, kind, payload, call, answer)
+        else:
+            self._forward(kind, payload, call, answer)
+
+    def _forward(self, kind: CommandKind, payload: str, call: Call, answer: Answer) -> None:
+        configuration = self.service.configuration
+        configuration.send_command(kind, payload, answer_command(answer), call.basis_serial)
+
+    def _forward_if_caller_waits(
+        self, turns: int, kind: CommandKind, payload: str, call: Call, answer: Answer
+    ) -> None:
+        """Forwards a command unless the end of its connection is found right behind it: its caller
+        has given it up.
+        """
+        if turns > 0:
+            self.context.call_soon(
+                self._forward_if_caller_waits, turns - 1, kind, payload, call, answer
+            )
+        elif call.caller_waits():
+            self._forward(kind, payload, call, answer)
+        else:
+            self.context.log.info("calls: %s is not carried out: its caller has gone.", kind)
 
     # endpoints and clients
 
@@ -129,16 +154,16 @@
     # the configuration
 
     def _replace_config(self, call: Call, names: Names, answer: Answer) -> None:
-        self._command(CommandKind.REPLACE, text_of(call), answer)
+        self._command(CommandKind.REPLACE, text_of(call), call, answer)
 
     def _read_config(self, call: Call, names: Names, answer: Answer) -> None:
-        self._command(CommandKind.READ, "", answer)
+        self._command(CommandKind.READ, "", call, answer)
 
     def _evacuate(self, call: Call, names: Names, answer: Answer) -> None:
-        self._command(CommandKind.EVACUATE, self._zone(names), answer)
+        self._command(CommandKind.EVACUATE, self._zone(names), call, answer)
 
     def _end_evacuation(self, call: Call, names: Names, answer: Answer) -> None:
-        self._command(CommandKind.END_EVACUATION, self._zone(names), answer)
+        self._command(CommandKind.END_EVACUATION, self._zone(names), call, answer)
 
     def _zone(self, names: Names) -> str:
         (zone,) = names
@@ -161,13 +186,13 @@
         if ARGUMENT_SEPARATOR in partner:
             raise BadCallError("partner: want a name of letters, digits, dots, dashes")
         payload = f"{partner}{ARGUMENT_SEPARATOR}{text}"
-        self._command(CommandKind.OFFER, payload, answer)
+        self._command(CommandKind.OFFER, payload, call, answer)
 
     def _read_offer(self, call: Call, names: Names, answer: Answer) -> None:
-        self._command(CommandKind.READ_OFFER, names[0], answer)
+        self._command(CommandKind.READ_OFFER, names[0], call, answer)
 
     def _withdraw_offer(self, call: Call, names: Names, answer: Answer) -> None:
-        self._command(CommandKind.WITHDRAW_OFFER, names[0], answer)
+        self._command(CommandKind.WITHDRAW_OFFER, names[0], call, answer)
 
     # rollouts
 
@@ -187,7 +212,7 @@
 
     def _move_rollout(self, move: str, call: Call, names: Names, answer: Answer) -> None:
         payload = f"{_service_name(names)}{ARGUMENT_SEPARATOR}{move}"
-        self._command(CommandKind.MOVE_ROLLOUT, payload, answer)
+        self._command(CommandKind.MOVE_ROLLOUT, payload, call, answer)
 
     # views
 
--- a/stagevale/api/router.py
+++ b/stagevale/api/router.py
@@ -6,12 +6,24 @@
 
 
 class Call(NamedTuple):
-    """A call as it was read: the path without its query, in unquoted segments."""
+    """A call as it was read.
+
+    Attributes:
+        method: as sent.
+        segments: the path without its query, unquoted.
+        query: as sent.
+        body: as sent.
+        basis_serial: the newest value that this daemon held before the call can have been sent; see
+            `RequestTerms`. None where nobody keeps track of that.
+        caller_waits: False once the caller has closed its connection.
+    """
 
     method: str
     segments: tuple[str, ...]
     query: str
     body: bytes
+    basis_serial: int | None = None
+    caller_waits: Callable[[], bool] = lambda: True
 
 
 # Called once with an HTTP status and a body: a table to be sent as JSON, or JSON itself.
--- a/stagevale/configuration/commands.py
+++ b/stagevale/configuration/commands.py
@@ -13,6 +13,9 @@
 CONFLICT = http.HTTPStatus.CONFLICT.value
 PRECONDITION_FAILED = http.HTTPStatus.PRECONDITION_FAILED.value
 UNAVAILABLE = http.HTTPStatus.SERVICE_UNAVAILABLE.value
+# Between daemons only: the command's subject was changed after the command's basis. Nothing was
+# done; callers get a 503.
+SUPERSEDED = http.HTTPStatus.PRECONDITION_REQUIRED.value
 
 
 class CommandKind(enum.StrEnum):
@@ -31,6 +34,43 @@
     READ_ROLLOUTS = "readRollouts"
 
 
+# Commands that set a state without naming the state that they follow. A copy of one that is carried
+# out late undoes what was acknowledged meanwhile, unless it is known to be late.
+UNVERSIONED_COMMANDS = frozenset(
+    (
+        CommandKind.EVACUATE,
+        CommandKind.END_EVACUATION,
+        CommandKind.WITHDRAW_OFFER,
+        CommandKind.MOVE_ROLLOUT,
+    )
+)
+ZONE_SUBJECT, PARTNER_SUBJECT, ROLLOUT_SUBJECT = "zone", "partner", "rollout"
+SUBJECT_TYPES = {
+    CommandKind.EVACUATE: ZONE_SUBJECT,
+    CommandKind.END_EVACUATION: ZONE_SUBJECT,
+    CommandKind.OFFER: PARTNER_SUBJECT,
+    CommandKind.WITHDRAW_OFFER: PARTNER_SUBJECT,
+    CommandKind.START_ROLLOUT: ROLLOUT_SUBJECT,
+    CommandKind.MOVE_ROLLOUT: ROLLOUT_SUBJECT,
+}
+
+
+class Subject(NamedTuple):
+    """What a command changes: a zone's evacuation, a partner's offer, a service's rollout."""
+
+    type: str
+    name: str
+
+
+def subject_of(kind: str, payload: str) -> Subject | None:
+    """The subject of a command; None for one that changes or reads the whole configuration."""
+    subject_type = SUBJECT_TYPES.get(CommandKind(kind)) if kind in set(CommandKind) else None
+    if subject_type is None:
+        return None
+    name, _, _ = payload.partition("\n")
+    return Subject(subject_type, name)
+
+
 class Outcome(NamedTuple):
     """What a command comes to.
 
--- a/stagevale/configuration/node.py
+++ b/stagevale/configuration/node.py
@@ -5,11 +5,15 @@
 from stagevale.configuration.commands import (
     NOT_FOUND,
     OK,
+    SUPERSEDED,
     UNAVAILABLE,
+    UNVERSIONED_COMMANDS,
     CommandKind,
     FindHandler,
     Outcome,
+    subject_of,
 )
+from stagevale.configuration.last_changes import LastChanges
 from stagevale.configuration.messages import CommittedValue
 from stagevale.configuration.outstanding_leases import OutstandingLeases
 from stagevale.configuration.value import ConfigurationValue, read_configuration_value
@@ -57,6 +61,7 @@
 
     Attributes:
         leases: leases on what has been withdrawn.
+        last_changes: when commands last changed what they are about.
         sessions: set by the daemon, which knows both packages.
         rollouts: likewise.
     """
@@ -66,7 +71,7 @@
     log_prefix = "store"
     subject = "configuration"
 
-    __slots__ = ("leases", "find_handler", "sessions", "rollouts")
+    __slots__ = ("leases", "last_changes", "find_handler", "sessions", "rollouts")
 
     sessions: SessionGroupTask
     rollouts: RolloutTask
@@ -81,6 +86,7 @@
     ) -> None:
         super().__init__(context, rpc, membership, storage)
         self.leases = OutstandingLeases(context)
+        self.last_changes = LastChanges()
         self.find_handler = find_handler
 
     def read_value(self, encoded: bytes) -> ConfigurationValue:
@@ -94,6 +100,7 @@
     def become_leader(self, ballot: Ballot, value: ConfigurationValue) -> None:
         """See `ConsensusNode.become_leader`."""
         self.leases.record_withdrawal()
+        self.last_changes.reset(value.serial)
         super().become_leader(ballot, value)
 
     def on_leadership_confirmed(self) -> None:
@@ -137,15 +144,42 @@
             answer = CommandReply(outcome.status, outcome.text, left_ms)
             self.answer_when_confirmed([command], answer)
             return
+        if self._is_superseded(command):
+            self._reject_superseded(command)
+            return
+        subject, serial = subject_of(command.kind, command.payload), outcome.value.serial
 
         def proposed(committed: bool) -> None:
             if committed and outcome.withdraws:
                 self.leases.record_withdrawal()
+            if committed and subject is not None:
+                self.last_changes.record(subject, serial)
             command.reply(self._answer_to_change(command, outcome, committed))
             self.commands.process()
 
         self.propose(outcome.value, proposed)
 
+    def _is_superseded(self, command: Command) -> bool:
+        """True for a command whose subject was changed after the command's basis: its caller may
+        have given it up, had it carried out by another daemon, and undone that since.
+        """
+        if command.basis_serial is None or command.kind not in UNVERSIONED_COMMANDS:
+            return False
+        subject = subject_of(command.kind, command.payload)
+        return subject is not None and self.last_changes.changed_since(
+            subject, command.basis_serial
+        )
+
+    def _reject_superseded(self, command: Command) -> None:
+        self.context.log.info(
+            "%s: %s is not carried out: changed since version %d, which its caller's daemon knew.",
+            self.log_prefix,
+            command.kind,
+            command.basis_serial,
+        )
+        command.reply(CommandReply(SUPERSEDED, "changed meanwhile; ask again"))
+        self.context.call_soon(self.commands.process)
+
     def _answer_to_change(
         self, command: Command, outcome: Outcome, committed: bool
     ) -> CommandReply:
--- a/stagevale/consensus/command_queue.py
+++ b/stagevale/consensus/command_queue.py
@@ -19,6 +19,7 @@
 from stagevale.rpc.errors import RequestError, RequestTimeoutError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.message import message_body, read_message
+from stagevale.rpc.request_terms import NO_TERMS, RequestTerms
 from stagevale.rpc.transport import Reply
 
 if TYPE_CHECKING:
@@ -96,26 +97,25 @@
         self.node = node
         self.pending: list[Command] = []
 
-    def on_command(self, peer: str, body: Any, reply: Reply, deadline_ms: float | None) -> None:
+    def on_command(self, peer: str, body: Any, reply: Reply, terms: RequestTerms) -> None:
         """A registry or another voter sends a command."""
         request = read_message(CommandRequest, body)
-        self.submit(request, lambda answer: reply(message_body(answer)), deadline_ms)
+        self.submit(request, lambda answer: reply(message_body(answer)), terms)
 
-    def on_read_value(self, peer: str, body: Any, reply: Reply, deadline_ms: float | None) -> None:
+    def on_read_value(self, peer: str, body: Any, reply: Reply, terms: RequestTerms) -> None:
         """A registry or another voter asks for the complete value."""
         request = CommandRequest(READ_VALUE, "", read_message(ReadValueRequest, body).forwarded)
-        self.submit(request, lambda answer: reply(message_body(answer)), deadline_ms)
+        self.submit(request, lambda answer: reply(message_body(answer)), terms)
 
     def submit(
-        self, request: CommandRequest, reply: OnCommandReply, deadline_ms: float | None = None
+        self, request: CommandRequest, reply: OnCommandReply, terms: RequestTerms = NO_TERMS
     ) -> None:
         """Carries a command out here, forwards it to the leader, or rejects it (503).
 
         Args:
             request: the command.
             reply: called exactly once.
-            deadline_ms: until when the caller waits; None for a caller of an earlier release, who
-                doesn't say.
+            terms: on which it may be carried out; a caller of an earlier release sends none.
         """
         node = self.node
         if node.context.stalled():
@@ -124,9 +124,9 @@
         large_ms = len(request.payload) / COMMAND_BYTES_PER_MS
         timeout_ms = node.request_timeout_ms * EXPIRY_TIMEOUTS + large_ms
         expires_ms = node.context.now_ms() + timeout_ms
-        if deadline_ms is not None:
-            expires_ms = min(expires_ms, deadline_ms)
-        command = Command(request.kind, request.payload, reply, expires_ms)
+        if terms.deadline_ms is not None:
+            expires_ms = min(expires_ms, terms.deadline_ms)
+        command = Command(request.kind, request.payload, reply, expires_ms, terms.basis_serial)
         if expires_ms <= node.context.now_ms():
             self._reject([command])
         elif node.ballot is not None:
@@ -191,7 +191,8 @@
         else:
             kind = MessageKind.COMMAND
             request = CommandRequest(str(command.kind), command.payload, True)
-        node.request_raw(leader, kind, request, replied, timeout_ms, command.expires_ms)
+        terms = RequestTerms(command.expires_ms, command.basis_serial)
+        node.request_raw(leader, kind, request, replied, timeout_ms, terms)
 
     def _on_forward_failed(self, leader: str, command: Command, error: RequestError | None) -> None:
         node = self.node
--- a/stagevale/consensus/commands.py
+++ b/stagevale/consensus/commands.py
@@ -70,12 +70,21 @@
         reply: called exactly once.
         expires_ms: until when the caller waits, by this daemon's clock; it is never carried out
             later, nor handed on with more time than is left.
+        basis_serial: as in `RequestTerms`; handed on as it came.
     """
 
-    __slots__ = ("kind", "payload", "reply", "expires_ms")
+    __slots__ = ("kind", "payload", "reply", "expires_ms", "basis_serial")
 
-    def __init__(self, kind: str, payload: str, reply: OnCommandReply, expires_ms: float) -> None:
+    def __init__(
+        self,
+        kind: str,
+        payload: str,
+        reply: OnCommandReply,
+        expires_ms: float,
+        basis_serial: int | None = None,
+    ) -> None:
         self.kind = kind
         self.payload = payload
         self.reply = reply
         self.expires_ms = expires_ms
+        self.basis_serial = basis_serial
--- a/stagevale/consensus/messenger.py
+++ b/stagevale/consensus/messenger.py
@@ -6,6 +6,7 @@
 from stagevale.consensus.voter_id import address_of
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
+from stagevale.rpc.request_terms import RequestTerms
 from stagevale.rpc.transport import OnRawReply, OnReply, Reply, RpcTransport
 
 MessageT = TypeVar("MessageT")
@@ -64,12 +65,12 @@
         body: Any,
         on_reply: OnRawReply,
         timeout_ms: float,
-        deadline_ms: float,
+        terms: RequestTerms,
     ) -> None:
-        """Sends a request with a deadline whose reply isn't a typed message; see
+        """Sends a request with terms whose reply isn't a typed message; see
         `RpcTransport.request_raw`.
         """
-        self.rpc.request_raw(peer, self.kind_offset + kind, body, on_reply, timeout_ms, deadline_ms)
+        self.rpc.request_raw(peer, self.kind_offset + kind, body, on_reply, timeout_ms, terms)
 
     def request_voter(
         self,
--- a/stagevale/consensus/node.py
+++ b/stagevale/consensus/node.py
@@ -153,10 +153,8 @@
         self.handle(kind.LEADER_HEARTBEAT, LeaderHeartbeat, self._on_leader_heartbeat)
         self.handle(kind.LEAVE_GROUP, LeaveRequest, self.reconfiguration.on_leave)
         self.handle(kind.LEADER_QUERY, LeaderQuery, self._on_leader_query)
-        self.rpc.handle_raw_with_deadline(self.kind_offset + kind.COMMAND, commands.on_command)
-        self.rpc.handle_raw_with_deadline(
-            self.kind_offset + kind.READ_VALUE, commands.on_read_value
-        )
+        self.rpc.handle_raw_with_terms(self.kind_offset + kind.COMMAND, commands.on_command)
+        self.rpc.handle_raw_with_terms(self.kind_offset + kind.READ_VALUE, commands.on_read_value)
         self.rpc.peer_lost_hooks.append(self.election.on_peer_lost)
 
     # start and cycle
--- a/stagevale/daemons/registry.py
+++ b/stagevale/daemons/registry.py
@@ -69,9 +69,13 @@
         for name in SERVED_PORTS:
             address = settings.listen.get(name)
             if address:
-                self.context.listen(
-                    address, lambda: HttpConnection(self.context, self.api.router.dispatch)
-                )
+                self.context.listen(address, self._accept_caller)
+
+    def _accept_caller(self) -> HttpConnection:
+        configuration = self.service.configuration
+        return HttpConnection(
+            self.context, self.api.router.dispatch, lambda: configuration.basis_serial
+        )
 
     def _folder(self, name: str) -> Folder:
         """A folder of this daemon's data; made where it isn't there."""
--- a/stagevale/discovery/configuration_client.py
+++ b/stagevale/discovery/configuration_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from stagevale.configuration.commands import OK, UNAVAILABLE
+from stagevale.configuration.commands import OK, SUPERSEDED, UNAVAILABLE
 from stagevale.configuration.messages import CommittedValue
 from stagevale.configuration.value import ConfigurationValue, read_configuration_value
 from stagevale.consensus.command_queue import COMMAND_BYTES_PER_MS
@@ -13,12 +13,14 @@
 from stagevale.partners.table import NO_PARTNERS, table_of
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
+from stagevale.rpc.request_terms import RequestTerms
 from stagevale.rpc.transport import Reply
 from stagevale.runtime.clock import LONG_AGO_MS
 
 if TYPE_CHECKING:
     from stagevale.discovery.registry_service import RegistryService
 
+NO_VALUE_SERIAL = -1
 # Shares of `ackDeadlineMs`: how long one store may take for a command, and how long its caller
 # waits for a daemon.
 STORE_SHARE = 0.23
@@ -30,6 +32,9 @@
 READ_TIMEOUT_SHARE = 0.9
 FIRST_VALUE_SHARE = 0.2
 STORES_TRIED = 3
+# What arrived before a value did has been read after so many turns of the event loop: the turn that
+# read the value reads that too, and an accepted connection gets its protocol in the next.
+TURNS_UNTIL_READ = 3
 
 OnStoreReply = Callable[[CommandReply | None, RequestError | None], object]
 
@@ -37,7 +42,7 @@
 class StoreCall:
     """A request to one store after the other, until one gives a clear reply."""
 
-    __slots__ = ("client", "kind", "body", "on_done", "addresses", "timeout_ms", "until_ms")
+    __slots__ = ("client", "kind", "body", "on_done", "addresses", "timeout_ms", "terms")
 
     def __init__(
         self,
@@ -47,7 +52,7 @@
         on_done: OnStoreReply,
         addresses: list[str],
         timeout_ms: float,
-        until_ms: float | None = None,
+        terms: RequestTerms | None = None,
     ) -> None:
         self.client = client
         self.kind = kind
@@ -55,29 +60,33 @@
         self.on_done = on_done
         self.addresses = addresses
         self.timeout_ms = timeout_ms
-        self.until_ms = until_ms
+        self.terms = terms
 
     def start(self) -> None:
         """Asks the first store that is left; `on_done(reply, error)` is called once in the end."""
         now_ms = self.client.context.now_ms()
-        timeout_ms, deadline_ms = self.timeout_ms, now_ms + self.timeout_ms
-        if self.until_ms is not None:
-            deadline_ms = self.until_ms
-            timeout_ms = min(timeout_ms, deadline_ms - now_ms)
+        timeout_ms = self.timeout_ms
+        terms = self.terms or RequestTerms(now_ms + timeout_ms)
+        if terms.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, terms.deadline_ms - now_ms)
         self.client.rpc.request_raw(
-            self.addresses[0], self.kind, self.body, self._replied, timeout_ms, deadline_ms
+            self.addresses[0], self.kind, self.body, self._replied, timeout_ms, terms
         )
 
     def _replied(self, body: Any, error: RequestError | None) -> None:
         reply = CommandReply.from_body(body) if error is None else None
-        in_time = self.until_ms is None or self.until_ms > self.client.context.now_ms()
         unclear = reply is None or reply.status == UNAVAILABLE
-        if unclear and len(self.addresses) > 1 and in_time:
+        if unclear and len(self.addresses) > 1 and self._is_in_time():
             self.addresses = self.addresses[1:]
             self.start()
         else:
             self.on_done(reply, error)
 
+    def _is_in_time(self) -> bool:
+        if self.terms is None or self.terms.deadline_ms is None:
+            return True
+        return self.terms.deadline_ms > self.client.context.now_ms()
+
 
 class ConfigurationClient:
     """Holds the newest configuration value and forwards commands to the stores.
@@ -86,6 +95,8 @@
         value: the newest value, or None.
         partners: the merged table of partner routes.
         confirmed_ms: when the value was last known to be the newest.
+        basis_serial: the serial of a value that had arrived here before anything that is read from
+            now on was sent; a call that is read now may rest on it. See `RequestTerms`.
     """
 
     __slots__ = (
@@ -96,6 +107,7 @@
         "value",
         "partners",
         "confirmed_ms",
+        "basis_serial",
         "_pulling",
     )
 
@@ -107,6 +119,7 @@
         self.value: ConfigurationValue | None = None
         self.partners = NO_PARTNERS
         self.confirmed_ms = LONG_AGO_MS
+        self.basis_serial = NO_VALUE_SERIAL
         self._pulling = False
         self.rpc.handle(MessageKind.COMMITTED_VALUE, CommittedValue, self._on_committed)
         self.rpc.handle(MessageKind.LEADER_HEARTBEAT, LeaderHeartbeat, self._on_heartbeat)
@@ -116,7 +129,7 @@
     @property
     def serial(self) -> int:
         """The value's serial; negative where there is none."""
-        return self.value.serial if self.value is not None else -1
+        return self.value.serial if self.value is not None else NO_VALUE_SERIAL
 
     def pull_first_value(self) -> None:
         """Asks the stores until there is a value: proxies that start wait for it."""
@@ -143,12 +156,24 @@
         if value.serial <= self.serial:
             return
         self.value = value
+        self._advance_basis(value.serial, TURNS_UNTIL_READ)
         self.partners = table_of(value) if value.offers else NO_PARTNERS
         self.membership.value_serial = value.serial
         if value.sessions:
             self.service.configure_sessions(value.sessions)
         self.service.feeds.publish_value()
 
+    def _advance_basis(self, serial: int, turns: int) -> None:
+        """Makes a value the basis of calls once all that arrived before it has been read.
+
+        A call may have waited in its socket's buffer longer than the value did, sent by a caller
+        that has given it up since.
+        """
+        if turns > 0:
+            self.context.call_soon(self._advance_basis, serial, turns - 1)
+        else:
+            self.basis_serial = max(self.basis_serial, serial)
+
     def _on_heartbeat(self, peer: str, message: LeaderHeartbeat, reply: Reply) -> None:
         if self.context.stalled():
             return
@@ -239,7 +264,7 @@
         on_done: OnStoreReply,
         stores: int,
         timeout_ms: float,
-        until_ms: float | None = None,
+        terms: RequestTerms | None = None,
     ) -> None:
         """Calls one store after the other until one gives a clear reply.
 
@@ -249,13 +274,19 @@
             on_done: called once with the last reply or error.
             stores: how many stores to try at most.
             timeout_ms: how long one store may take.
-            until_ms: until when whoever asked waits: it travels with the message, and no store is
-                tried later; without it each store has its own time-out.
+            terms: travel with the message, and no store is tried after their deadline; without
+                them each store has its own time-out.
         """
         addresses = self._store_addresses()[:stores]
-        StoreCall(self, kind, body, on_done, addresses, timeout_ms, until_ms).start()
+        StoreCall(self, kind, body, on_done, addresses, timeout_ms, terms).start()
 
-    def send_command(self, kind: str, payload: str, answer: Callable[[int, str], object]) -> None:
+    def send_command(
+        self,
+        kind: str,
+        payload: str,
+        answer: Callable[[int, str], object],
+        basis_serial: int | None = None,
+    ) -> None:
         """Forwards an operator's command to the stores; given up when its caller has gone on, so
         that it isn't carried out long after it was sent to another daemon.
 
@@ -263,6 +294,8 @@
             kind: a CommandKind.
             payload: the command's argument.
             answer: called once with an HTTP status and a text.
+            basis_serial: the value that the call rests on, see `RequestTerms`; that of a call which
+                is read now if it is left out.
         """
         if self.context.stalled():
             answer(UNAVAILABLE, "this daemon stood still; ask again")
@@ -271,21 +304,27 @@
         def replied(reply: CommandReply | None, error: RequestError | None) -> None:
             if reply is None:
                 answer(UNAVAILABLE, f"no store answers: {error}")
+            elif reply.status == SUPERSEDED:
+                self.pull_value()
+                answer(UNAVAILABLE, str(reply.content))
             elif reply.lease_left_ms:
                 # Leases on what was withdrawn run out before the caller is told.
                 self.context.call_later(reply.lease_left_ms, answer, reply.status, reply.content)
             else:
                 answer(reply.status, str(reply.content))
 
-        deadline_ms = self.context.settings.bounds.ack_deadline_ms
+        ack_deadline_ms = self.context.settings.bounds.ack_deadline_ms
         large_ms = len(payload) / COMMAND_BYTES_PER_MS
+        patience_ms = min(ack_deadline_ms * CALLER_SHARE, LONGEST_CALLER_WAIT_MS) + large_ms
+        terms = RequestTerms(
+            self.context.now_ms() + patience_ms,
+            self.basis_serial if basis_serial is None else basis_serial,
+        )
         self.call_stores(
             MessageKind.COMMAND,
             CommandRequest(str(kind), payload, False),
             replied,
             STORES_TRIED,
-            deadline_ms * STORE_SHARE + large_ms,
-            self.context.now_ms()
-            + min(deadline_ms * CALLER_SHARE, LONGEST_CALLER_WAIT_MS)
-            + large_ms,
+            ack_deadline_ms * STORE_SHARE + large_ms,
+            terms,
         )
--- a/stagevale/rpc/codec.py
+++ b/stagevale/rpc/codec.py
@@ -28,12 +28,14 @@
         body: the message's fields, or a single value.
         left_ms: for how long whoever asked still waits; None where the request has no deadline.
             Releases that don't know the field pass it over.
+        basis_serial: as in `RequestTerms`; passed over likewise.
     """
 
     kind: int
     request_id: int
     body: Any
     left_ms: int | None = None
+    basis_serial: int | None = None
 
 
 LEAST_FRAME_FIELDS = 3
@@ -76,6 +78,8 @@
     frame = Frame(*fields[: len(Frame._fields)])
     if frame.left_ms is not None and not isinstance(frame.left_ms, int):
         raise DecodeError("frame", peer, "no time")
+    if frame.basis_serial is not None and not isinstance(frame.basis_serial, int):
+        raise DecodeError("frame", peer, "no serial")
     return frame
 
 
--- a/stagevale/rpc/transport.py
+++ b/stagevale/rpc/transport.py
@@ -15,7 +15,8 @@
     RequestTimeoutError,
 )
 from stagevale.rpc.kinds import MessageKind
-from stagevale.rpc.message import read_message
+from stagevale.rpc.message import message_body, read_message
+from stagevale.rpc.request_terms import NO_TERMS, RequestTerms
 from stagevale.runtime.context import Context, Timer
 
 MessageT = TypeVar("MessageT")
@@ -23,8 +24,7 @@
 Reply = Callable[[Any], None]
 RawHandler = Callable[[str, Any, Reply], None]
 Handler = Callable[[str, MessageT, Reply], None]
-# The last argument is the request's deadline by this daemon's clock, or None.
-DeadlineHandler = Callable[[str, Any, Reply, float | None], None]
+TermsHandler = Callable[[str, Any, Reply, RequestTerms], None]
 OnRawReply = Callable[[Any, RequestError | None], None]
 OnReply = Callable[[ReplyT | None, RequestError | None], None]
 PeerLostHook = Callable[[str], None]
@@ -66,7 +66,7 @@
         "address",
         "connections",
         "handlers",
-        "deadline_handlers",
+        "terms_handlers",
         "pending",
         "last_request_id",
         "peer_lost_hooks",
@@ -78,7 +78,7 @@
         self.address = address
         self.connections: dict[str, list[PeerConnection]] = {}
         self.handlers: dict[int, RawHandler] = {}
-        self.deadline_handlers: dict[int, DeadlineHandler] = {}
+        self.terms_handlers: dict[int, TermsHandler] = {}
         self.pending: dict[int, PendingRequest] = {}
         self.last_request_id = 0
         self.peer_lost_hooks: list[PeerLostHook] = []
@@ -96,11 +96,9 @@
         """Sets the handler(peer, body, reply) of a kind whose body isn't a typed message."""
         self.handlers[kind] = handler
 
-    def handle_raw_with_deadline(self, kind: int, handler: DeadlineHandler) -> None:
-        """Sets the handler(peer, body, reply, deadline_ms) of a kind whose requests may bear a
-        deadline.
-        """
-        self.deadline_handlers[kind] = handler
+    def handle_raw_with_terms(self, kind: int, handler: TermsHandler) -> None:
+        """Sets the handler(peer, body, reply, terms) of a kind whose requests may bear terms."""
+        self.terms_handlers[kind] = handler
 
     def handle(self, kind: int, message_type: type[MessageT], handler: Handler[MessageT]) -> None:
         """Sets the handler(peer, message, reply) of a kind.
@@ -169,7 +167,7 @@
         body: Any,
         on_reply: OnRawReply,
         timeout_ms: float,
-        deadline_ms: float | None = None,
+        terms: RequestTerms = NO_TERMS,
     ) -> None:
         """Sends a request whose reply isn't a typed message.
 
@@ -179,12 +177,12 @@
             body: likewise.
             on_reply: called once with the reply's body and None, or with None and the error.
             timeout_ms: how long to wait for the reply.
-            deadline_ms: by this daemon's clock, until when whoever asked first waits; what is left
-                of it travels with the request. It may lie behind the time-out.
+            terms: travel with the request: of the deadline, which may lie behind the time-out,
+                what is left when the frame is written.
         """
         if peer == self.address:
             self.context.call_soon(
-                self._dispatch, peer, kind, body, lambda reply: on_reply(reply, None), deadline_ms
+                self._dispatch, peer, kind, body, lambda reply: on_reply(reply, None), terms
             )
             return
         self.last_request_id += 1
@@ -195,13 +193,17 @@
         )
         expires_ms = self.context.now_ms() + timeout_ms
         self.pending[request_id] = PendingRequest(connection, on_reply, timer, expires_ms)
-        if deadline_ms is None:
+        if terms == NO_TERMS:
             data = codec.encode([kind, request_id, body])
             connection.send(lambda: data)
         else:
-            connection.send(
-                lambda: codec.encode([kind, request_id, body, self._left_ms(deadline_ms)])
-            )
+            connection.send(lambda: self._encode_with_terms(kind, request_id, body, terms))
+
+    def _encode_with_terms(
+        self, kind: int, request_id: int, body: Any, terms: RequestTerms
+    ) -> bytes:
+        left_ms = self._left_ms(terms.deadline_ms) if terms.deadline_ms is not None else None
+        return codec.encode(message_body((kind, request_id, body, left_ms, terms.basis_serial)))
 
     def _left_ms(self, deadline_ms: float) -> int:
         return max(0, int(deadline_ms - self.context.now_ms()))
@@ -249,22 +251,26 @@
             return
         if not connection.peer:
             raise DecodeError("first message", "an unnamed peer", "no hello")
-        if frame.kind not in self.handlers and frame.kind not in self.deadline_handlers:
+        if frame.kind not in self.handlers and frame.kind not in self.terms_handlers:
             raise DecodeError(f"kind {frame.kind}", connection.peer, "not handled here")
         reply = no_reply
         if frame.request_id:
             reply = functools.partial(self._reply, connection, frame.request_id)
+        terms = NO_TERMS
+        if frame.left_ms is not None or frame.basis_serial is not None:
+            terms = self._terms_of(frame)
+        self._dispatch(connection.peer, frame.kind, frame.body, reply, terms)
+
+    def _terms_of(self, frame: codec.Frame) -> RequestTerms:
         deadline_ms = None
         if frame.left_ms is not None:
             deadline_ms = self.context.now_ms() + frame.left_ms
-        self._dispatch(connection.peer, frame.kind, frame.body, reply, deadline_ms)
+        return RequestTerms(deadline_ms, frame.basis_serial)
 
-    def _dispatch(
-        self, peer: str, kind: int, body: Any, reply: Reply, deadline_ms: float | None
-    ) -> None:
-        with_deadline = self.deadline_handlers.get(kind)
-        if with_deadline is not None:
-            with_deadline(peer, body, reply, deadline_ms)
+    def _dispatch(self, peer: str, kind: int, body: Any, reply: Reply, terms: RequestTerms) -> None:
+        with_terms = self.terms_handlers.get(kind)
+        if with_terms is not None:
+            with_terms(peer, body, reply, terms)
         else:
             self.handlers[kind](peer, body, reply)
 
--- a/tests/register_model.py
+++ b/tests/register_model.py
@@ -215,11 +215,13 @@
 
 class ZoneOperator:
     """Evacuates a zone of its own and ends that, in turn, each order sent until it is acknowledged:
-    to the next registry after a second of silence, whatever becomes of the calls before.
+    to the next registry after a second of silence or once its connection is lost, whatever becomes
+    of the calls before.
     """
 
     def __init__(self, run, zone):
         self.run, self.zone = run, zone
+        self.lose_connection = lambda: None
         self.next()
 
     def next(self):
@@ -255,9 +257,12 @@
                 tried.append(None)
                 self.send(order)
 
+        self.lose_connection = silent
         run.world.later(CALLER_PATIENCE_MS, silent)
-        if registry.context.alive and not run.world.thaw_ms(registry.context):
-            registry.service.configuration.send_command(order.kind, order.zone, answered)
+        client = registry.service.configuration
+        # What a frozen registry's socket holds is read when it thaws, and rests on this value.
+        arguments = (order.kind, order.zone, answered, client.basis_serial)
+        registry.context.call_soon(client.send_command, *arguments)
 
 
 class Run:
@@ -281,7 +286,7 @@
         first.end_ms, first.outcome = world.env.now, 200
         for number in range(operators):
             Operator(self, number)
-        ZoneOperator(self, ZONE)
+        self.zone_operator = ZoneOperator(self, ZONE)
         kinds = kinds or list(TROUBLES)
         for _ in range(troubles):
             kind = self.draw.choice(kinds)
@@ -447,6 +452,14 @@
                 if transport.local is daemon.context and self.draw.random() < 0.6:
                     transport.abort()
 
+    def hang_up(self):
+        """The connection under an order is reset, again and again: its operator goes on at once,
+        and the order stays under way.
+        """
+        for _ in range(10):
+            delay_ms = self.draw.uniform(0, 2000)
+            self.world.later(delay_ms, lambda: self.zone_operator.lose_connection())
+
     def turn_seeds(self):
         self.fleet.seeds = tuple(n + 1 for n in self.draw.sample(range(CORE), 3))
 
@@ -469,6 +482,7 @@
     "reset": Run.reset,
     "turn_seeds": Run.turn_seeds,
     "lose_answers": Run.lose_answers,
+    "hang_up": Run.hang_up,
 }
 
 
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -83,6 +83,9 @@
         if self.world.is_cut(self.mine, self.theirs):
             self.world.later(self.silence_ms, self.lose, OSError("timed out"))
             return
+        if self.world.is_held(self.mine, self.theirs):
+            self.world.held_back.append((self, self.other.arrive, bytes(data)))
+            return
         self.world.count(self.mine, self.theirs, data)
         self.world.later(self.at(), self.other.arrive, bytes(data))
 
@@ -108,7 +111,10 @@
     def close(self):
         if not self.closed:
             self.closed = True
-            self.world.later(self.at(), self.other.ended)
+            if self.world.is_held(self.mine, self.theirs):
+                self.world.held_back.append((self, self.other.ended))
+            else:
+                self.world.later(self.at(), self.other.ended)
             self.world.later(0, self.protocol.connection_lost, None)
 
     def abort(self):
@@ -148,6 +154,7 @@
         self.transports, self.lines, self.stalled = [], [], set()
         self.regions = {}
         self.one_way = set()
+        self.held, self.held_back = set(), []
         self.steps = {}
         self.frozen = {}
         self.crossed = 0
@@ -202,9 +209,22 @@
                 if one != other:
                     self.cuts.add(frozenset((one, other)))
 
+    def hold(self, ones, others):
+        """What `ones` send `others` waits in the senders' kernels until `join`, on connections that
+        are up: a cut too short for anybody to give a connection up.
+        """
+        self.held |= {(one, other) for one in ones for other in others if one != other}
+
+    def is_held(self, one, other):
+        return (one, other) in self.held
+
     def join(self):
         self.cuts.clear()
         self.one_way.clear()
+        self.held.clear()
+        held_back, self.held_back = self.held_back, []
+        for transport, call, *args in held_back:
+            self.later(transport.at(), call, *args)
 
     def up(self, owner):
         return owner not in self.dead
--- a/tests/test_command_deadlines.py
+++ b/tests/test_command_deadlines.py
@@ -12,6 +12,7 @@
 from stagevale.consensus.commands import CommandRequest
 from stagevale.rpc import codec
 from stagevale.rpc.kinds import MessageKind
+from stagevale.rpc.request_terms import RequestTerms
 
 # A command of each kind that changes something, as it would be valid beside the others.
 WAITING = {
@@ -103,7 +104,7 @@
         CommandRequest("evacuate", "a1", False),
         lambda body, _error: replies.append(body),
         400,
-        deadline_ms,
+        RequestTerms(deadline_ms),
     )
     assert fleet.world.until(lambda: leader.commands.pending, 190)
     assert leader.commands.pending[0].expires_ms <= deadline_ms + 70
@@ -123,9 +124,9 @@
     here.close_connections(there.address)
     fleet.world.run(100)
     seen = []
-    there.rpc.handle_raw_with_deadline(
+    there.rpc.handle_raw_with_terms(
         MessageKind.COMMAND,
-        lambda _peer, _body, _reply, deadline_ms: seen.append(deadline_ms - fleet.world.env.now),
+        lambda _peer, _body, _reply, terms: seen.append(terms.deadline_ms - fleet.world.env.now),
     )
     here.request_raw(
         there.address,
@@ -133,7 +134,7 @@
         CommandRequest("read", "", False),
         lambda *_: None,
         500,
-        fleet.world.env.now + 500,
+        RequestTerms(fleet.world.env.now + 500),
     )
     assert fleet.world.until(lambda: seen, 400)
     assert seen[0] <= 500 - 2 * fleet.world.delay(address(0), address(1))
--- a/tests/test_register_model.py
+++ b/tests/test_register_model.py
@@ -8,6 +8,7 @@
 from register_model import TROUBLES, Run, check
 
 from stagevale.configuration.change_history import ChangeHistory
+from stagevale.configuration.last_changes import LastChanges
 from stagevale.consensus import acceptor, replication, vote_storage
 from stagevale.consensus.command_queue import CommandQueue
 from stagevale.rpc.transport import RpcTransport
@@ -55,8 +56,16 @@
     monkeypatch.setattr(vote_storage.Vote, "with_increment", lambda self, _record: self)
 
 
+def forgets_the_basis(monkeypatch):
+    """An order is carried out whatever was changed since its caller can have given it up."""
+    monkeypatch.setattr(LastChanges, "changed_since", lambda *_arguments: False)
+
+
 def forgets_the_callers_time(monkeypatch):
-    """A command that waited is carried out or handed on whatever its caller's time."""
+    """A command that waited is carried out or handed on whatever its caller's time and basis: each
+    keeps a late order from its effect where the other would let it pass.
+    """
+    forgets_the_basis(monkeypatch)
     monkeypatch.setattr(CommandQueue, "_reject_expired", lambda _self: None)
     monkeypatch.setattr(RpcTransport, "_left_ms", lambda _self, _deadline_ms: 1000)
 
@@ -79,7 +88,8 @@
     answers_before_the_disk: Bite(["power_in_stall", "kill"], 1, 4),
     keeps_the_identity: Bite(["closing_behind"], 6, 4),
     loads_snapshots_only: Bite(["power", "kill"], 1, 2),
-    forgets_the_callers_time: Bite(["freeze"], 24, 4, troubles=14),
+    forgets_the_callers_time: Bite(["freeze"], 45, 4, troubles=14),
+    forgets_the_basis: Bite(["freeze", "hang_up"], 14, 4, troubles=14),
 }
 
 
