--- /dev/null
+++ b/soak/app.py
@@ -0,0 +1,69 @@
+"""The command `python3 -m soak`."""
+
+import asyncio
+import pathlib
+import sys
+from typing import Annotated
+
+import cyclopts
+
+from soak.errors import SoakError
+from soak.plan import Disruption, Plan, Size, draw_disruptions, read_replay, save_replay
+from soak.report import as_text, write_page
+from soak.runner import play
+
+app = cyclopts.App(
+    name="soak", help="Plays a deployment of real daemons on loopback and judges it."
+)
+
+EXIT_HELD, EXIT_BROKEN, EXIT_NOT_PLAYED = 0, 1, 2
+
+
+@app.command
+def run(
+    seed: int = 1,
+    *,
+    seconds: Annotated[float, cyclopts.Parameter(name=["--for", "--seconds"])] = 60.0,
+    proxies: int = 3,
+    core: int = 3,
+    endpoints: int = 9,
+    upload_mb: int = 0,
+    replay: pathlib.Path | None = None,
+    save: pathlib.Path | None = None,
+    page: pathlib.Path | None = None,
+    keep: bool = False,
+    brief: bool = False,
+) -> int:
+    """Plays one run.
+
+    Args:
+        seed: from which clients, endpoints, operators and disruptions are drawn.
+        seconds: of traffic.
+        proxies: how many edge machines.
+        core: how many core machines.
+        endpoints: how many endpoints.
+        upload_mb: the largest upload; small ones only where it is 0.
+        replay: a file that `--save` wrote: its disruptions and size, in place of drawn ones.
+        save: where to write what was played.
+        page: where to write a page with a time line.
+        keep: keep the daemons' files.
+        brief: one line, and one for each break.
+
+    Returns:
+        0 where all rules held, 1 where one was broken, 2 where the run couldn't be played.
+    """
+    plan = Plan(seed, seconds, Size(proxies, core, endpoints))
+    disruptions: list[Disruption] = draw_disruptions(plan)
+    if replay is not None:
+        plan, disruptions = read_replay(replay)
+    if save is not None:
+        save_replay(save, plan, disruptions)
+    try:
+        outcome = asyncio.run(play(plan, disruptions, keep, upload_mb))
+    except SoakError as error:
+        sys.stderr.write(f"soak: not played: {error}\n")
+        return EXIT_NOT_PLAYED
+    print(as_text(outcome, detailed=not brief), flush=True)
+    if page is not None:
+        write_page(outcome, page)
+    return EXIT_BROKEN if outcome.breaks else EXIT_HELD
