Daemons: a SIGHUP that comes while one starts doesn't end it

Cause: until the event loop runs the default of SIGHUP holds, which ends the process. Change: launch passes the signal over first; the stamp of the settings file is taken before it is read and travels with the settings, so that what changed meanwhile is found at the first look.

--- a/stagevale/daemons/daemon.py
+++ b/stagevale/daemons/daemon.py
@@ -1,14 +1,13 @@
 """What the three daemons have in common: peers, membership, settings that change."""
 
-import os
 from collections.abc import Callable
-from typing import NamedTuple
 
 from stagevale.membership.membership import Membership
 from stagevale.placement.rule import next_placement
 from stagevale.rpc.transport import RpcTransport
 from stagevale.runtime.context import Context
 from stagevale.runtime.stall_monitor import StallMonitor
+from stagevale.settings.file_stamp import stamp_of
 from stagevale.settings.settings import SettingsError, load_settings
 
 SETTINGS_CHECK_MS = 1000.0
@@ -19,22 +18,6 @@
 DaemonFactory = Callable[[Context, str], "Daemon"]
 
 
-class FileStamp(NamedTuple):
-    """What tells one content of a file from another."""
-
-    modified_ns: int
-    size: int
-
-
-def stamp_of(path: str) -> FileStamp | None:
-    """The stamp of a file, or None where there is none."""
-    try:
-        stat = os.stat(path)
-    except OSError:
-        return None
-    return FileStamp(stat.st_mtime_ns, stat.st_size)
-
-
 class Daemon:
     """One running program.
 
@@ -62,7 +45,7 @@
         self.program = program
         self.settings_path = settings_path
         self.stopping = False
-        self._settings_stamp = stamp_of(settings_path)
+        self._settings_stamp = settings.stamp
         address = f"{settings.ip}:{settings.inner_ports[0] + port_offset}"
         front = settings.listen.get("front")
         self.rpc = RpcTransport(context, address)
--- a/stagevale/daemons/launch.py
+++ b/stagevale/daemons/launch.py
@@ -1,5 +1,6 @@
 """Starts one of the three daemons; loads nothing of the others."""
 
+import signal
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -9,7 +10,12 @@
 
 
 def launch(name: str) -> int:
-    """Runs a daemon until it ends; returns the exit code."""
+    """Runs a daemon until it ends; returns the exit code.
+
+    A SIGHUP that comes while the daemon starts is passed over: it would end the process, and the
+    settings are still to be read, or are looked at again once the daemon runs.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from stagevale.daemons.process import run
 
     return run(_factory(name), name)
--- a/stagevale/settings/settings.py
+++ b/stagevale/settings/settings.py
@@ -5,6 +5,8 @@
 import tomllib
 from typing import Any
 
+from stagevale.settings.file_stamp import FileStamp, stamp_of
+
 SETTINGS_VARIABLE = "STAGEVALE_CONFIG"
 SETTINGS_PATH = "/etc/stagevale/settings.toml"
 MOST_PORT = 65535
@@ -122,6 +124,7 @@
         tolerance: which losses have to be borne at once.
         policy_path: a balancing policy; empty for none.
         steering: whether requests are routed by learned latency.
+        stamp: of the file that they were read from, taken before it was read; None without a file.
         platform, duties, duty_per_s: where the platform is, its singleton roles, and how often it
             may be called.
     """
@@ -149,6 +152,7 @@
         "platform",
         "duties",
         "duty_per_s",
+        "stamp",
     )
 
     name: str
@@ -173,6 +177,7 @@
     platform: SocketAddress | None
     duties: tuple[str, ...]
     duty_per_s: float
+    stamp: FileStamp | None
 
 
 def split_address(text: object, field: str) -> SocketAddress:
@@ -211,6 +216,7 @@
         if not isinstance(value, dict):
             raise SettingsError(f"{section}: want a table, got {value!r}")
     settings = Settings()
+    settings.stamp = None
     _read_daemon(settings, table)
     _read_limits(settings, table)
     _read_network(settings, table)
@@ -288,10 +294,13 @@
     Raises:
         SettingsError: the file can't be read, or its settings can't be used.
     """
+    stamp = stamp_of(path)
     try:
         with open(path, encoding="utf-8") as file:
             text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, "strerror", None) or error
         raise SettingsError(f"can't be read: {reason}") from error
-    return read_settings(text)
+    settings = read_settings(text)
+    settings.stamp = stamp
+    return settings
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -17,9 +17,12 @@
 from http.server import BaseHTTPRequestHandler, HTTPServer
 
 import pytest
+from support.network import SimContext, World
 from test_register import config
 
 from stagevale.commands.app import app
+from stagevale.daemons.daemon import Daemon
+from stagevale.settings.settings import load_settings
 
 ROOT = pathlib.Path(__file__).parent.parent
 SETTINGS = """
@@ -218,6 +221,43 @@
             program.end()
 
 
+@pytest.mark.parametrize("name", ["proxy", "registry", "store"])
+def test_a_daemon_that_is_told_to_reload_while_it_starts_goes_on(name):
+    """Guards against a SIGHUP that ends a process whose handlers aren't set yet."""
+    script = (
+        "import os, signal, sys\n"
+        "from stagevale.daemons import launch, process\n"
+        "def run(make_daemon, program):\n"
+        "    os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    return 7\n"
+        "process.run = run\n"
+        f"sys.exit(launch.launch({name!r}))\n"
+    )
+    assert subprocess.run([sys.executable, "-c", script], cwd=ROOT, check=False).returncode == 7
+
+
+def test_settings_that_change_between_their_reading_and_the_daemons_start_are_read(tmp_path):
+    """Guards against a change that nobody hears of: its SIGHUP came while the daemon started."""
+    path = tmp_path / "settings.toml"
+    text = SETTINGS.format(
+        name="proxy",
+        ip="127.0.0.1",
+        klass="edge",
+        inner=7000,
+        innerEnd=7015,
+        control=7020,
+        listen="",
+        data="",
+    )
+    path.write_text(text)
+    settings = load_settings(str(path))
+    path.write_text(text.replace("beatMs = 500", "beatMs = 700"))
+    daemon = Daemon(SimContext(World(), settings, "proxy"), "proxy", 0, str(path))
+    daemon.start()
+    daemon.context.world.run(1500)
+    assert daemon.context.settings.beat_ms == 700
+
+
 def partners_and_sessions(tmp_path, capsys, control):
     """The commands about partners and sessions, as an operator would try them."""
     offer = tmp_path / "offer.json"
