--- a/soak/disruptor.py
+++ b/soak/disruptor.py
@@ -11,6 +11,8 @@
 from soak.operators import Operators
 from soak.plan import Disruption, Kind
 
+# How long after its time the last disruption may still wait its turn.
+TURN_MS = 1000.0
 EDGE_KINDS = (Kind.TERM_PROXY, Kind.KILL_PROXY, Kind.FREEZE_PROXY, Kind.HUP_PROXY)
 RELOADS = (Kind.HUP_PROXY, Kind.HUP_CORE)
 FROZEN_PROGRAMS = {
@@ -25,7 +27,8 @@
     """Brings disruptions about.
 
     A core machine is lost until `syncS` after it is back; as many as `tolerance` allows, which is
-    one, are lost at once, so a further one waits its turn.
+    one, are lost at once, so a further one waits its turn, and is left out once the time for
+    disruptions is over.
     """
 
     def __init__(
@@ -40,9 +43,12 @@
         self.operators = operators
         self.history = history
         self._core_lost = asyncio.Lock()
+        self._last_ms = 0.0
 
     async def run(self, disruptions: list[Disruption], began_ms: float) -> None:
         """Carries them out; returns once all are over."""
+        last_s = max((disruption.at_s for disruption in disruptions), default=0.0)
+        self._last_ms = began_ms + last_s * MS_PER_S
         async with asyncio.TaskGroup() as tasks:
             for disruption in disruptions:
                 tasks.create_task(self._at_its_time(disruption, began_ms))
@@ -93,6 +99,8 @@
 
     async def _at_core(self, machine: Machine, what: Callable[[Machine], Awaitable[None]]) -> None:
         async with self._core_lost:
+            if now_ms() > self._last_ms + TURN_MS:
+                return
             await what(machine)
             await asyncio.sleep(bounds.SYNC_S)
 
