--- a/soak/disruptor.py
+++ b/soak/disruptor.py
@@ -79,6 +79,9 @@
         deployment, kind = self.deployment, disruption.kind
         machines = deployment.edges if kind in EDGE_KINDS else deployment.core
         machine = machines[disruption.number % len(machines)]
+        if kind == Kind.KILL_ALL_CORE:
+            await self._at_core(machine, self._kill_all_core)
+            return
         if kind in RELOADS:
             if not machine.busy:
                 deployment.reload(machine)
@@ -93,6 +96,11 @@
         do = signals.get(kind, _freeze(deployment, frozen, disruption.for_s))
         await (self._at_edge if kind in EDGE_KINDS else self._at_core)(machine, do)
 
+    async def _kill_all_core(self, _machine: Machine) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for machine in self.deployment.core:
+                tasks.create_task(self.deployment.kill(machine))
+
     async def _at_edge(self, machine: Machine, what: Callable[[Machine], Awaitable[None]]) -> None:
         if not machine.busy:
             await what(machine)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -41,6 +41,7 @@
     DRAIN = "drain"
     LEAVE = "leave"
     CRASH_ENDPOINT = "crash_endpoint"
+    KILL_ALL_CORE = "kill_all_core"
 
 
 class Disruption(NamedTuple):
@@ -88,6 +89,7 @@
     Kind.DRAIN: Series(4, 4, (0.1, 2.0)),
     Kind.LEAVE: Series(3, 3, (0.1, 2.0)),
     Kind.CRASH_ENDPOINT: Series(1, 2, (0.1, 2.0)),
+    Kind.KILL_ALL_CORE: Series(1, 1, (0.0, 0.0)),
 }
 MOST_NUMBER = 10_000
 
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -1,7 +1,6 @@
 """Plays one run: a deployment, its clients, endpoints and operators, and what disturbs them."""
 
 import asyncio
-import contextlib
 import json
 from collections.abc import Coroutine
 from typing import Any, NamedTuple
@@ -26,6 +25,7 @@
 FORMATION_LIMIT_S = 60.0
 FORMATION_POLL_S = 0.1
 MEMORY_POLL_S = 1.0
+CANCEL_POLL_S = 0.2
 CLIENTS_EACH_PROXY = 5
 LEAST_CLIENTS = 12
 # The share that is served at the end is that of the last seconds.
@@ -91,15 +91,24 @@
         await _while_memory_lasts(asyncio.sleep(rest_s))
         last_ms = now_ms() - LAST_S * MS_PER_S
         await operators.read_version()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await _cancel(tasks)
         return _outcome(plan, disruptions, deployment, history, last_ms)
     finally:
         pool.close()
         deployment.close(keep)
 
 
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    """Cancels tasks until all have ended: `asyncio.wait_for` passes a cancellation over where what
+    it waits for is done in the same moment.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_POLL_S)
+
+
 def _outcome(
     plan: Plan,
     disruptions: list[Disruption],
@@ -130,9 +139,7 @@
             check_memory()
         await task
     finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.wait([task])
+        await _cancel([task])
 
 
 async def _form(
