Requests: bodies are held once, within a bound for the whole process

Cause: a body was held up to five times: read, joined, joined behind its head, encoded, and in the buffer of the endpoint's connection. Nothing bounded how many.

Change: a body stays in the pieces that it came in, is written as fast as its endpoint reads, and is dropped once its request is answered and no connection carries it.

Why it works: each byte is held once and counted where it is held.

The fingerprint of a key is the same as before, reckoned from the pieces; its test passes them as a list.

--- a/soak/app.py
+++ b/soak/app.py
@@ -1,6 +1,7 @@
 """The command `python3 -m soak`."""
 
 import asyncio
+import collections
 import pathlib
 import sys
 from typing import Annotated
@@ -11,6 +12,7 @@
 from soak.plan import Disruption, Plan, Size, draw_disruptions, read_replay, save_replay
 from soak.report import as_text, write_page
 from soak.runner import play
+from soak.uploads import measure_uploads
 
 app = cyclopts.App(
     name="soak", help="Plays a deployment of real daemons on loopback and judges it."
@@ -19,6 +21,31 @@
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_PLAYED = 0, 1, 2
 
 
+@app.command
+def uploads(count: int = 3, *, mb: int = 60, prefix: str = "/upload/", path: str = "x") -> int:
+    """Measures a proxy's memory under uploads at once.
+
+    Args:
+        count: how many.
+        mb: how large each is, in MiB.
+        prefix: `/upload/` (pure), `/upload-once/` (effectful) or `/keyed/`.
+        path: behind it: `early/x` for endpoints that answer before they have read the body,
+            `slow-read/x` for such as read it slowly.
+
+    Returns:
+        0 where the proxy lives, 1 where it doesn't, 2 where the run couldn't be played.
+    """
+    try:
+        figures = asyncio.run(measure_uploads(count, mb, prefix, path))
+    except SoakError as error:
+        sys.stderr.write(f"soak: not played: {error}\n")
+        return EXIT_NOT_PLAYED
+    counted = collections.Counter(str(status) for status in figures.statuses)
+    answers = ", ".join(f"{status} {number} times" for status, number in sorted(counted.items()))
+    print(f"{count} x {mb} MiB on {prefix}{path}: peak {figures.peak_mb} MB; {answers}")
+    return EXIT_HELD if figures.lives else EXIT_BROKEN
+
+
 @app.command
 def run(
     seed: int = 1,
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import hashlib
 import json
 import random
 import re
@@ -13,7 +14,7 @@
 from soak.control import call
 from soak.deployment import ZONES, Deployment, Machine
 from soak.history import Departure, History, Run
-from soak.http_client import digest, is_success
+from soak.http_client import is_success, short_digest
 
 READ_BYTES = 262144
 SLOTS = 8
@@ -21,6 +22,9 @@
 WORK_MS = 15.0
 WORK_IN_PATH = re.compile(r"/work-(\d+)/")
 SIZE_IN_PATH = re.compile(r"/size-(\d+)/")
+# An endpoint answers these before it has read the body, or reads the body slowly.
+EARLY_IN_PATH, SLOW_IN_PATH = b"/early/", b"/slow-read/"
+SLOW_READ_S = 0.01
 # How long an endpoint that has said so serves on beyond the cutoff, and how long a life's successor
 # takes to come, in seconds.
 SERVES_ON_S = (0.2, 2.0)
@@ -29,6 +33,11 @@
 COLD_MS = 0
 
 
+def request_target(request: h11.Request | None) -> bytes:
+    """What a request asks for; empty before its head has come."""
+    return bytes(request.target) if request is not None else b""
+
+
 def answer_body(run: Run) -> bytes:
     """What an endpoint answers: it says which request it is the answer to."""
     fields = (run.attempt_id, run.path, run.tenant, run.key, run.body_digest, run.endpoint)
@@ -157,21 +166,25 @@
     ) -> bool:
         """Serves one request; False once the connection is done with."""
         request: h11.Request | None = None
-        parts: list[bytes] = []
+        body = hashlib.sha256()
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 parser.receive_data(await reader.read(READ_BYTES))
             elif isinstance(event, h11.Request):
                 request = event
+                if EARLY_IN_PATH in request.target:
+                    break
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                body.update(event.data)
+                if SLOW_IN_PATH in request_target(request):
+                    await asyncio.sleep(SLOW_READ_S)
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
                 return False
         assert request is not None
-        await self._answer(writer, parser, request, b"".join(parts))
+        await self._answer(writer, parser, request, short_digest(body.hexdigest()))
         return parser.our_state is h11.DONE and parser.their_state is h11.DONE
 
     async def _answer(
@@ -179,7 +192,7 @@
         writer: asyncio.StreamWriter,
         parser: h11.Connection,
         request: h11.Request,
-        body: bytes,
+        body_digest: str,
     ) -> None:
         fields = {name: value.decode("latin-1") for name, value in request.headers}
         path = request.target.decode("latin-1")
@@ -189,7 +202,7 @@
         elif fields.get(b"expect-instance", self.id) != self.id:
             self._write(writer, parser, 421, [*own, ("Not-Run", "1")], b"")
         else:
-            run = self._run_of(request.method.decode(), path, fields, body)
+            run = self._run_of(request.method.decode(), path, fields, body_digest)
             async with self._slots:
                 found = WORK_IN_PATH.search(path)
                 await asyncio.sleep((float(found.group(1)) if found else WORK_MS) / MS_PER_S)
@@ -199,7 +212,7 @@
             self._write(writer, parser, 200, [*own, seal], answer_body(run))
         await writer.drain()
 
-    def _run_of(self, method: str, path: str, fields: dict[bytes, str], body: bytes) -> Run:
+    def _run_of(self, method: str, path: str, fields: dict[bytes, str], body_digest: str) -> Run:
         run = Run(
             self.id,
             self.zone,
@@ -209,7 +222,7 @@
             path,
             fields.get(b"tenant", ""),
             fields.get(b"idempotency-key", ""),
-            digest(body),
+            body_digest,
             now_ms(),
         )
         self.history.runs.append(run)
--- a/soak/http_client.py
+++ b/soak/http_client.py
@@ -17,7 +17,12 @@
 
 def digest(body: bytes) -> str:
     """A short text that is equal for equal bodies."""
-    return hashlib.sha256(body).hexdigest()[:DIGEST_CHARACTERS]
+    return short_digest(hashlib.sha256(body).hexdigest())
+
+
+def short_digest(hexadecimal: str) -> str:
+    """A digest as records keep it."""
+    return hexadecimal[:DIGEST_CHARACTERS]
 
 
 def is_success(status: int | None) -> bool:
@@ -81,18 +86,21 @@
         """Writes a request, its body in pieces with pauses where `piece_bytes` is given."""
         outgoing = Outgoing(sent, headers)
         self.waiting.append(outgoing)
-        data = outgoing.head
-        if body:
-            data += outgoing.parser.send(h11.Data(data=body)) or b""
-        outgoing.parser.send(h11.EndOfMessage())
-        step = piece_bytes or len(data)
+        view = memoryview(body)
+        step = piece_bytes or max(1, len(body))
         try:
-            for start in range(0, len(data), step):
-                self.writer.write(data[start : start + step])
+            self.writer.write(outgoing.head)
+            for start in range(0, len(body), step):
+                piece = view[start : start + step]
+                for data in outgoing.parser.send_with_data_passthrough(h11.Data(data=piece)) or ():  # type: ignore[arg-type]  # any buffer will do
+                    self.writer.write(data)
                 await self.writer.drain()
                 if pause_s:
                     await asyncio.sleep(pause_s)
-        except OSError:
+            outgoing.parser.send(h11.EndOfMessage())
+            await self.writer.drain()
+        except (OSError, h11.LocalProtocolError):
+            # The proxy has ended the connection, perhaps with an answer to what it hasn't read.
             return
         sent.sent_ms = now_ms()
 
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -73,7 +73,7 @@
     pool = EndpointPool(deployment, history, SERVICES, plan.seed)
     operators = Operators(deployment, history, plan.seed)
     try:
-        await _form(deployment, pool, operators, plan)
+        await form(deployment, pool, operators, plan)
         clients = make_clients(
             deployment,
             history,
@@ -142,7 +142,7 @@
         await _cancel([task])
 
 
-async def _form(
+async def form(
     deployment: Deployment, pool: EndpointPool, operators: Operators, plan: Plan
 ) -> None:
     """Starts everything and waits until all members are up and proxies ready."""
--- a/stagevale/forwarding/client_connection.py
+++ b/stagevale/forwarding/client_connection.py
@@ -8,7 +8,8 @@
 import h11
 
 from stagevale.forwarding.answer import BODILESS_STATUSES, NOT_WRITTEN, Answer
-from stagevale.forwarding.request import Request
+from stagevale.forwarding.request import Headers, Request
+from stagevale.forwarding.request_body import RequestBody
 from stagevale.runtime.context import Timer
 
 if TYPE_CHECKING:
@@ -25,6 +26,10 @@
 BAD_REQUEST = http.HTTPStatus.BAD_REQUEST.value
 TIMEOUT = http.HTTPStatus.REQUEST_TIMEOUT.value
 BODY_TOO_LARGE = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE.value
+UNAVAILABLE = http.HTTPStatus.SERVICE_UNAVAILABLE.value
+# When a client whose body there was no room for may try again.
+RETRY_AFTER_S = b"0.5"
+ATTEMPT_ID = b"attempt-id"
 HEAD_TOO_LARGE = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.value
 
 
@@ -39,7 +44,6 @@
         "_parser",
         "_head",
         "_body",
-        "_body_bytes",
         "_timer",
         "_last_read",
         "_unread",
@@ -54,8 +58,7 @@
         self.requests: deque[Request] = deque()
         self._parser: Any = None
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = RequestBody()
         self._timer: Timer | None = None
         self._last_read = False
         self._unread = b""
@@ -215,19 +218,21 @@
 
     def _on_head(self, head: h11.Request) -> bool:
         limits = self.forwarder.snapshot.limits
-        self._head, self._body, self._body_bytes = head, [], 0
+        self._head, self._body = head, RequestBody(self.forwarder.bodies)
         self._restart_timer(limits.idle_ms)
         size = len(head.target)
-        names = set()
+        fields = {}
         for name, value in head.headers:
             size += len(name) + len(value) + HEADER_OVERHEAD_BYTES
-            names.add(name)
+            fields[name] = value
         if size > limits.header_max_bytes:
             self._answer_unread(HEAD_TOO_LARGE, "the head is over the limit")
             return False
-        if b"transfer-encoding" in names and b"content-length" in names:
+        if b"transfer-encoding" in fields and b"content-length" in fields:
             self._answer_unread(BAD_REQUEST, "two lengths for one body")
             return False
+        if not self._has_room(int(fields.get(b"content-length", b"0"))):
+            return False
         if self._parser.they_are_waiting_for_100_continue and not self.requests:
             status = http.HTTPStatus.CONTINUE.value
             response = h11.InformationalResponse(status_code=status, headers=[])
@@ -236,14 +241,25 @@
 
     def _on_body(self, data: bytes) -> bool:
         limits = self.forwarder.snapshot.limits
-        self._body_bytes += len(data)
-        if self._body_bytes > limits.body_max_bytes:
+        if self._body.size + len(data) > limits.body_max_bytes:
             self._answer_unread(BODY_TOO_LARGE, "the body is over the limit")
             return False
-        self._body.append(data)
+        if not self._body.append(data):
+            self._answer_unread(UNAVAILABLE, "too many large bodies at once")
+            return False
         self._restart_timer(limits.idle_ms)
         return True
 
+    def _has_room(self, size: int) -> bool:
+        """True where a body of this size may be read; one that may not is refused before it comes."""
+        if size > self.forwarder.snapshot.limits.body_max_bytes:
+            self._answer_unread(BODY_TOO_LARGE, "the body is over the limit")
+            return False
+        if not self.forwarder.bodies.has_room(size):
+            self._answer_unread(UNAVAILABLE, "too many large bodies at once")
+            return False
+        return True
+
     def _on_end(self) -> bool:
         """A request has been read completely."""
         rest, _ = self._parser.trailing_data
@@ -265,8 +281,8 @@
 
     def _take_request(self, parser: Any) -> None:
         """A request starts at once if it may run beside the ones before it."""
-        body = b"".join(self._body)
-        request = Request(self, parser, self._head, body, self.context.now_ms())
+        request = Request(self, parser, self._head, self._body, self.context.now_ms())
+        self._body = RequestBody()
         self.requests.append(request)
         self.forwarder.read(request)
         if request.answer is not None:
@@ -278,12 +294,22 @@
         """Queues an answer to what could not be read, and ends the connection behind it."""
         self._last_read = True
         self._stop_timer()
-        request = Request(self, self._parser, None, b"", self.context.now_ms())
+        self._body.release()
+        request = Request(self, self._parser, None, self._body, self.context.now_ms())
         request.closes = True
-        request.answer = Answer(status, b"", [(b"Content-Type", b"text/plain")], text.encode())
+        request.answer = Answer(status, b"", self._refusal_headers(status), text.encode())
         self.requests.append(request)
         self.flush()
 
+    def _refusal_headers(self, status: int) -> Headers:
+        headers = [(b"Content-Type", b"text/plain")]
+        if status == UNAVAILABLE:
+            headers.append((b"Retry-After", RETRY_AFTER_S))
+        id = dict(self._head.headers).get(ATTEMPT_ID) if self._head is not None else None
+        if id is not None:
+            headers.append((b"Attempt-Id", id))
+        return headers
+
     # answering
 
     def flush(self) -> None:
@@ -346,6 +372,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """The connection has ended."""
         self._stop_timer()
+        self._body.release()
         self.forwarder.connections.discard(self)
         self._on_client_gone()
 
--- a/stagevale/forwarding/endpoint_connection.py
+++ b/stagevale/forwarding/endpoint_connection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import http
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from stagevale.forwarding.forwarder import Forwarder
 
+# A body up to this size goes out with its head, in one call of the system.
+MOST_JOINED_BYTES = 64 * 1024
 MOST_ANSWER_BYTES = 64 * 1024 * 1024
 # A connection may take a fourteenth of `contactMs` to come up; an idle one is kept for this share of
 # it where the endpoint doesn't tell.
@@ -104,6 +106,8 @@
         "_surplus",
         "_ended",
         "_carried",
+        "_unsent",
+        "_holds_writing",
     )
 
     def __init__(self, forwarder: "Forwarder", target: Target) -> None:
@@ -124,6 +128,8 @@
         self._surplus = 0
         self._ended = False
         self._carried = 0
+        self._unsent: Iterator[bytes] | None = None
+        self._holds_writing = False
 
     # opening
 
@@ -180,7 +186,7 @@
             self.forwarder.on_not_sent(request, self.target, None)
             return
         try:
-            data = self._encode(request, left_ms)
+            data = self._encode_head(request, left_ms)
         except h11.LocalProtocolError as error:
             self.request = None
             self.close()
@@ -199,22 +205,54 @@
         self._written = True
         self._carried += 1
         self.forwarder.on_sent(request, self.target)
+        if request.body.size <= MOST_JOINED_BYTES:
+            body = b"".join(request.body)
+            if body:
+                data += self._parser.send(h11.Data(data=body))
+            data += self._parser.send(h11.EndOfMessage())
+            self.transport.write(data)
+            return
         self.transport.write(data)
-
-    def _encode(self, request: Request, left_ms: int) -> bytes:
-        """A request's bytes."""
+        self._unsent = iter(request.body)
+        self._write_body()
+
+    def _write_body(self) -> None:
+        """Writes the pieces of a large body, as fast as the endpoint reads them."""
+        while self._unsent is not None and not self._holds_writing:
+            if self._closing or self.transport.is_closing():
+                self._unsent = None
+                return
+            piece = next(self._unsent, None)
+            if piece is None:
+                self._unsent = None
+                self._parser.send(h11.EndOfMessage())
+            else:
+                self.transport.write(self._parser.send(h11.Data(data=piece)))
+
+    def pause_writing(self) -> None:
+        """The endpoint reads more slowly than the body is written."""
+        self._holds_writing = True
+
+    def resume_writing(self) -> None:
+        """The endpoint has read what was written."""
+        self._holds_writing = False
+        self._write_body()
+
+    def _encode_head(self, request: Request, left_ms: int) -> bytes:
+        """The bytes of a request's head.
+
+        Raises:
+            h11.LocalProtocolError: it can't be written in the protocol.
+        """
         headers = [
             *request.headers,
             (b"Deadline-Ms", str(left_ms).encode()),
             (b"Expect-Instance", self.target.id.encode()),
         ]
-        if request.body or request.method not in BODILESS_METHODS:
-            headers.append((b"Content-Length", str(len(request.body)).encode()))
+        if request.body.size or request.method not in BODILESS_METHODS:
+            headers.append((b"Content-Length", str(request.body.size).encode()))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
         data: bytes = self._parser.send(head)
-        if request.body:
-            data += self._parser.send(h11.Data(data=request.body))
-        data += self._parser.send(h11.EndOfMessage())
         return data
 
     # receiving
@@ -366,6 +404,7 @@
         if self._closing:
             return
         self._closing = True
+        self._unsent = None
         if self._idle_timer is not None:
             self._idle_timer.cancel()
         if self in self.target.idle:
--- a/stagevale/forwarding/forwarder.py
+++ b/stagevale/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from stagevale.forwarding.endpoint_connection import EndpointAnswer, EndpointConnection
 from stagevale.forwarding.queue import RequestQueue
 from stagevale.forwarding.request import Request
+from stagevale.forwarding.request_body import BodyBudget
 from stagevale.forwarding.retry_policy import RetryPolicy
 from stagevale.leases.lease import Lease
 from stagevale.runtime.clock import MS_PER_S
@@ -52,6 +53,7 @@
         chooser: chooses endpoints.
         lease: on partner routes and new versions.
         connections: clients' connections; running: how many requests are under way.
+        bodies: what the bodies of all requests take.
         leaving: a graceful shutdown has begun: connections end with what was read so far.
         end_ms: when the process ends, once it takes no connections any more; None until then.
         usage: counts of requests by tenant, or None.
@@ -69,6 +71,7 @@
         "answers",
         "queue",
         "connections",
+        "bodies",
         "running",
         "leaving",
         "end_ms",
@@ -88,6 +91,7 @@
         self.answers = AnswerPolicy(self)
         self.queue = RequestQueue()
         self.connections: set[ClientConnection] = set()
+        self.bodies = BodyBudget(context)
         self.running = 0
         self.leaving = False
         self.end_ms: float | None = None
@@ -212,6 +216,7 @@
         request.connections = [
             connection for connection in request.connections if connection.target is not target
         ]
+        request.release_body()
         self.context.call_soon(self._serve_queue, target.service)
 
     def on_not_needed(self, request: Request, target: Target) -> None:
@@ -386,6 +391,7 @@
             connection.give_up()
             connection.target.outstanding -= 1
             self.context.call_soon(self._serve_queue, connection.target.service)
+        request.release_body()
 
     def on_client_gone(self, request: Request) -> None:
         """The client has gone: an idempotent request ends; another ends too while nothing of it
@@ -394,6 +400,7 @@
         if request.answer is not None:
             return
         request.answer = NOT_WRITTEN
+        request.release_body()
         if not request.started:
             return
         self.queue.remove(request)
@@ -430,6 +437,7 @@
             sessions.settle(request, answer, lambda recorded: self.finish(request, recorded))
             return
         request.answer = answer
+        request.release_body()
         if request.timer is not None and not request.connections:
             request.timer.cancel()
         if request.started:
--- a/stagevale/forwarding/request.py
+++ b/stagevale/forwarding/request.py
@@ -6,6 +6,7 @@
 
 from stagevale.balancing.snapshot import Route
 from stagevale.forwarding.answer import Answer
+from stagevale.forwarding.request_body import RequestBody
 from stagevale.runtime.context import Timer
 from stagevale.tenants.tenants import Tenant
 
@@ -97,7 +98,7 @@
         connection: AnswerWriter,
         parser: Any,
         head: h11.Request | None,
-        body: bytes,
+        body: RequestBody,
         start_ms: float,
     ) -> None:
         self.connection = connection
@@ -137,6 +138,11 @@
         self.answer: Answer | None = None
         self.closes = False
 
+    def release_body(self) -> None:
+        """Drops the body once the request is answered and no endpoint's connection carries it."""
+        if self.answer is not None and not self.connections:
+            self.body.release()
+
     def split_key(self) -> bytes:
         """What a rollout's share is drawn by: the session where there is one, else the attempt's
         id.
--- a/stagevale/sessions/ports.py
+++ b/stagevale/sessions/ports.py
@@ -1,6 +1,6 @@
 """What a proxy's sessions need of the forwarder and its requests."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING, Any, Protocol
 
 from stagevale.configuration.value import SessionGroup
@@ -60,7 +60,6 @@
     method: bytes
     target: bytes
     headers: list[tuple[bytes, bytes]]
-    body: bytes
     attempt_id: bytes | None
     host: str
     service: str
@@ -75,6 +74,10 @@
     from_endpoint: bool
     reservation_ms: float
 
+    @property
+    def body(self) -> Iterable[bytes]:
+        """The body's pieces."""
+
     @property
     def route(self) -> SessionRoute:
         """The route, which asks for affinity."""
--- a/stagevale/sessions/session_headers.py
+++ b/stagevale/sessions/session_headers.py
@@ -49,9 +49,11 @@
     return SessionHeaders(session, key)
 
 
-def fingerprint_of(method: bytes, target: bytes, body: bytes) -> str:
+def fingerprint_of(method: bytes, target: bytes, body: Iterable[bytes]) -> str:
     """What a key stands for: the same key with another fingerprint is another request under a used
     name.
     """
-    hashed = hashlib.sha256(method + b"\n" + target + b"\n" + body)
+    hashed = hashlib.sha256(method + b"\n" + target + b"\n")
+    for piece in body:
+        hashed.update(piece)
     return hashed.hexdigest()[:FINGERPRINT_CHARACTERS]
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -499,7 +499,7 @@
     assert lost not in after["|0"][1]
     assert len(set(after["|0"][1]) & set(settled["|0"][1])) == 2
     assert choose_members("|1", registries[:2], ())
-    assert fingerprint_of(b"POST", b"/a", b"x") != fingerprint_of(b"POST", b"/a", b"y")
+    assert fingerprint_of(b"POST", b"/a", [b"x"]) != fingerprint_of(b"POST", b"/a", [b"y"])
 
 
 def test_the_log_survives_torn_batches_and_is_written_whole_in_time(tmp_path):
