--- a/soak/operators.py
+++ b/soak/operators.py
@@ -91,10 +91,12 @@
     async def _insist(
         self, method: str, path: str, body: bytes, may_be_hasty: bool = True
     ) -> Insisted:
+        sent_ms = now_ms()
         if may_be_hasty and self.draw.random() < HASTY_SHARE:
             for _ in range(self.draw.randint(1, HASTY_COPIES)):
                 await self._send_and_lose(method, path, body)
-        return await insist(self.deployment.core, self.draw, method, path, body, ORDER_LIMIT_S)
+        done = await insist(self.deployment.core, self.draw, method, path, body, ORDER_LIMIT_S)
+        return done._replace(sent_ms=sent_ms)
 
     async def _send_and_lose(self, method: str, path: str, body: bytes) -> None:
         machine = self.draw.choice(self.deployment.core)
