--- a/soak/clients.py
+++ b/soak/clients.py
@@ -213,13 +213,31 @@
 
 
 class KeyedClient(Client):
-    """Sends requests under keys, again at other proxies: after an answer, or while one is due."""
+    """Sends requests under keys, again at other proxies: after an answer, or while one is due.
+
+    Two of different tenants use the same sessions and keys, for requests that look the same.
+    """
+
+    created = 0
+
+    def __init__(
+        self, deployment: Deployment, history: History, draw: random.Random, most_upload_mb: int
+    ) -> None:
+        super().__init__(deployment, history, draw, most_upload_mb)
+        tenants = list(TENANT_KEYS)
+        pair, position = divmod(KeyedClient.created, len(tenants))
+        KeyedClient.created += 1
+        self.tenant = tenants[position]
+        self.session = f"session-{pair}"
+        self.keys_used = 0
 
     async def step(self) -> None:
         """See `Client.step`."""
-        key = f"session-{self.name}/{self.requests}"
-        body = self.draw.randbytes(200)
-        work = f"work-{self.draw.choice((5, 60, 300))}/x"
+        self.keys_used += 1
+        key = f"{self.session}/{self.keys_used}"
+        same_for_all = random.Random(key)
+        body = same_for_all.randbytes(200)
+        work = f"work-{same_for_all.choice((5, 60, 300))}/x"
         for _ in range(self.draw.randint(1, 3)):
             connection = await self.connect()
             if connection is None:
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -7,6 +7,9 @@
 from soak.history import History, Run, Sent, Span
 
 
+SAMPLED_EVERY = 10
+
+
 class Break(NamedTuple):
     """A rule that was broken, or something that the rules excuse but should be looked at.
 
@@ -49,6 +52,17 @@
             for span in self._spans(at_ms - bounds.CONTACT_MS, at_ms)
         )
 
+    def in_touch_share(self) -> float:
+        """The share of requests whose machine was in touch when they were sent: where it is small,
+        a run that held says little.
+        """
+        times = [
+            (sent.machine, sent.sent_ms)
+            for sent in self.history.sent.values()
+            if sent.sent_ms is not None
+        ][::SAMPLED_EVERY]
+        return sum(self.in_touch(machine, at_ms) for machine, at_ms in times) / max(1, len(times))
+
     def unplanned_trouble(self, begin_ms: float, end_ms: float) -> bool:
         """True where anything but planned work happened to any machine."""
         return any(
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -1,19 +1,12 @@
 """Judges a run by the rules as the pages write them."""
 
 from soak.evidence import Break, Evidence
-from soak.history import History
 from soak.rules import answers, configuration, lost, order_of_endpoints, processes
 
 RULES = (lost.check, answers.check, order_of_endpoints.check, configuration.check, processes.check)
 
 
-def judge(history: History, core: list[str]) -> list[Break]:
-    """What broke in a run, in the order of its times.
-
-    Args:
-        history: what was seen.
-        core: the names of the core machines.
-    """
-    evidence = Evidence(history, core)
+def judge(evidence: Evidence) -> list[Break]:
+    """What broke in a run, in the order of its times."""
     breaks = [each for check in RULES for each in check(evidence)]
     return sorted(breaks, key=lambda each: each.at_ms)
--- a/soak/report.py
+++ b/soak/report.py
@@ -27,7 +27,7 @@
         f"seed {plan.seed}: {held}; {size.core} core machines, {size.proxies} proxies, "
         f"{size.endpoints} endpoints; {len(outcome.disruptions)} disruptions, "
         f"{len(history.sent)} requests, {len(history.runs)} runs, served {outcome.served:.3f}, "
-        f"at the end {outcome.served_last:.3f}; {len(history.changes)} changes, "
+        f"at the end {outcome.served_last:.3f}, in touch {outcome.in_touch:.2f}; {len(history.changes)} changes, "
         f"{len(history.evacuations)} orders about zones; "
         + ", ".join(f"{name} {peak} MB" for name, peak in sorted(outcome.peaks_mb.items()))
     ]
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -13,7 +13,7 @@
 from soak.disruptor import Disruptor
 from soak.endpoints import EndpointPool
 from soak.errors import FormationError
-from soak.evidence import Break
+from soak.evidence import Break, Evidence
 from soak.history import History
 from soak.http_client import is_success
 from soak.judge import judge
@@ -40,6 +40,7 @@
         history: what was seen.
         breaks: what broke.
         served, served_last: shares of the requests answered with success, in all and at the end.
+        in_touch: share of the requests that were sent to machines in touch.
         peaks_mb: the largest memory of each program's daemons at the end.
         logs: the last log lines of the machines that broke something.
     """
@@ -50,6 +51,7 @@
     breaks: list[Break]
     served: float
     served_last: float
+    in_touch: float
     peaks_mb: dict[str, int]
     logs: dict[str, list[str]]
 
@@ -116,7 +118,8 @@
     history: History,
     last_ms: float,
 ) -> Outcome:
-    breaks = judge(history, [machine.name for machine in deployment.core])
+    evidence = Evidence(history, [machine.name for machine in deployment.core])
+    breaks = judge(evidence)
     logs = {name: deployment.last_log_lines(name) for name in {each.machine for each in breaks}}
     return Outcome(
         plan,
@@ -125,6 +128,7 @@
         breaks,
         served_share(history, history.began_ms, last_ms),
         served_share(history, last_ms, last_ms + LAST_S * MS_PER_S),
+        evidence.in_touch_share(),
         deployment.peaks_mb(),
         logs,
     )
