--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -6,7 +6,6 @@
 from soak.clock import MS_PER_S
 from soak.history import History, Run, Sent, Span
 
-
 SAMPLED_EVERY = 10
 
 
