--- a/soak/plan.py
+++ b/soak/plan.py
@@ -73,6 +73,7 @@
 CALM_S = 5.0
 QUIET_S = 8.0
 SERIES_EVERY_S = 2.0
+LEAST_KINDS = 2
 SERIES = {
     Kind.TERM_PROXY: Series(6, 4, (0.5, 6.0)),
     Kind.KILL_PROXY: Series(2, 2, (0.2, 3.0)),
@@ -95,10 +96,14 @@
 
 
 def draw_disruptions(plan: Plan) -> list[Disruption]:
-    """The disruptions of a run, by its seed: series that overlap, in the order of their times."""
+    """The disruptions of a run, by its seed: series that overlap, in the order of their times.
+
+    A run has some of the kinds only: where the core is disturbed all the while nobody is in touch,
+    and most rules ask nothing.
+    """
     draw = random.Random(f"disruptions {plan.seed}")
     end_s = plan.seconds - QUIET_S
-    kinds = list(SERIES)
+    kinds = draw.sample(list(SERIES), draw.randint(LEAST_KINDS, len(SERIES) // 2))
     weights = [SERIES[kind].weight for kind in kinds]
     drawn: list[Disruption] = []
     for _ in range(max(1, int((end_s - CALM_S) / SERIES_EVERY_S))):
--- a/soak/starvation.py
+++ b/soak/starvation.py
@@ -7,9 +7,9 @@
 from soak.deployment import Deployment
 from soak.history import History, Span
 
-SAMPLE_S = 0.25
-# A process that waited for a processor so long within a sample counts as slowed.
-STARVED_MS = 100.0
+SAMPLE_S = 0.5
+# A process that waited for a processor so long within a sample is slowed more than threefold.
+STARVED_MS = 350.0
 NS_PER_MS = 1_000_000
 
 
