Daemons: all addresses are bound before a daemon starts; one that can't have them ends

What callers saw: a daemon whose port another process held went on without listening: a store elected itself and nobody reached it. Cause: each part asked for its socket by itself, and nobody read the failure of AsyncioContext.listen. Change: a daemon's addresses are bound before it starts; one that is taken is tried again for 1.2 grace periods, said in the log, then the daemon names it and ends with 3. Why it works: until it holds every address a daemon neither votes nor sends anything.

--- a/stagevale/daemons/daemon.py
+++ b/stagevale/daemons/daemon.py
@@ -1,10 +1,13 @@
 """What the three daemons have in common: peers, membership, settings that change."""
 
+import socket
 from collections.abc import Callable
 
 from stagevale.membership.membership import Membership
 from stagevale.placement.rule import next_placement
+from stagevale.rpc.codec import socket_address
 from stagevale.rpc.transport import RpcTransport
+from stagevale.runtime.bound_sockets import Binding
 from stagevale.runtime.context import Context
 from stagevale.runtime.stall_monitor import StallMonitor
 from stagevale.settings.file_stamp import stamp_of
@@ -58,6 +61,16 @@
             )
         )
 
+    def bindings(self) -> list[Binding]:
+        """The addresses that this daemon listens on: for its peers, and what its settings name."""
+        peers = socket_address(self.rpc.address)
+        names = sorted(self.context.settings.listen)
+        return [
+            Binding(peers, socket.SOCK_STREAM),
+            Binding(peers, socket.SOCK_DGRAM),
+            *[Binding(self.context.settings.listen[name], socket.SOCK_STREAM) for name in names],
+        ]
+
     def start(self) -> None:
         """Starts the daemon's parts."""
         self.rpc.start()
--- a/stagevale/daemons/process.py
+++ b/stagevale/daemons/process.py
@@ -8,11 +8,50 @@
 
 from absl import logging
 
-from stagevale.daemons.daemon import DaemonFactory
+from stagevale.daemons.daemon import Daemon, DaemonFactory
 from stagevale.runtime.asyncio_context import AsyncioContext
+from stagevale.runtime.bound_sockets import AddressTakenError, bind_all
+from stagevale.runtime.clock import MS_PER_S
 from stagevale.settings.settings import SettingsError, load_settings, settings_path
 
-EXIT_OK, EXIT_MISUSE = 0, 2
+EXIT_OK, EXIT_MISUSE, EXIT_ADDRESS_TAKEN = 0, 2, 3
+# For how long an address that is taken is tried again, in grace periods: the process before has
+# ended by then.
+BIND_GRACE_PERIODS = 1.2
+
+
+class DaemonStart:
+    """Binds a daemon's addresses, then starts it: it neither votes nor sends anything before.
+
+    Attributes:
+        done: the daemon was started.
+        exit_code: of the process, so far.
+    """
+
+    __slots__ = ("context", "daemon", "program", "done", "exit_code")
+
+    def __init__(self, context: AsyncioContext, daemon: Daemon, program: str) -> None:
+        self.context = context
+        self.daemon = daemon
+        self.program = program
+        self.done = False
+        self.exit_code = EXIT_OK
+
+    async def run(self) -> None:
+        """Starts the daemon, or ends the process where an address can't be had."""
+        context = self.context
+        limit_ms = context.settings.bounds.grace_period_s * MS_PER_S * BIND_GRACE_PERIODS
+        try:
+            bound = await bind_all(self.daemon.bindings(), limit_ms, context.log)
+        except (AddressTakenError, OSError) as error:
+            # An operator's matter: the trace says nothing.
+            logging.error("%s: can't listen: %s; ends.", self.program, error)  # noqa: TRY400 - see above
+            self.exit_code = EXIT_ADDRESS_TAKEN
+            context.stop()
+            return
+        context.bound_sockets = bound
+        self.done = True
+        self.daemon.start()
 
 
 def run(make_daemon: DaemonFactory, program: str) -> int:
@@ -35,18 +74,23 @@
     context = AsyncioContext(settings, loop, logging)
     daemon = make_daemon(context, path)
 
+    start = DaemonStart(context, daemon, program)
+
     def stop() -> None:
         if not daemon.stopping:
             daemon.stopping = True
             context.stopping = True
             logging.info("%s: graceful shutdown begins.", program)
-            daemon.stop()
+            if start.done:
+                daemon.stop()
+            else:
+                context.stop()
 
     loop.add_signal_handler(signal.SIGTERM, stop)
     loop.add_signal_handler(signal.SIGINT, stop)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
     loop.set_exception_handler(_log_unhandled)
-    loop.call_soon(daemon.start)
+    binding = loop.create_task(start.run())
     # What was made so far lives as long as the process: collecting it again costs time for nothing.
     gc.collect()
     gc.freeze()
@@ -54,9 +98,10 @@
     try:
         loop.run_forever()
     finally:
+        binding.cancel()
         loop.close()
     logging.info("%s: ended.", program)
-    return EXIT_OK
+    return start.exit_code
 
 
 def _log_unhandled(_loop: asyncio.AbstractEventLoop, details: dict[str, Any]) -> None:
--- a/stagevale/runtime/asyncio_context.py
+++ b/stagevale/runtime/asyncio_context.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from stagevale.runtime.bound_sockets import Binding, BoundSockets
 from stagevale.runtime.clock import MS_PER_S
 from stagevale.runtime.context import DiskCallback, Log, SocketAddress
 from stagevale.runtime.disk_thread import DiskThread
@@ -18,7 +19,11 @@
 
 
 class AsyncioContext:
-    """Clock, timers, sockets and the disk thread of one process; see `Context`."""
+    """Clock, timers, sockets and the disk thread of one process; see `Context`.
+
+    Attributes:
+        bound_sockets: of the addresses that are to be listened on, bound beforehand.
+    """
 
     __slots__ = (
         "settings",
@@ -29,6 +34,7 @@
         "tasks",
         "stopping",
         "stall_monitor",
+        "bound_sockets",
     )
 
     def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop, log: Log) -> None:
@@ -40,6 +46,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
         self.stall_monitor: StallMonitor | None = None
+        self.bound_sockets: BoundSockets = {}
 
     def stalled(self) -> bool:
         """See `Context.stalled`."""
@@ -110,13 +117,10 @@
         factory: Callable[[], asyncio.BaseProtocol],
         on_listening: Callable[[asyncio.Server], object] | None = None,
     ) -> asyncio.Task[None]:
-        """See `Context.listen`; the answer is a task that fails where the address is taken."""
+        """See `Context.listen`; the answer is a task."""
+        sock = self.bound_sockets.pop(Binding(address, socket.SOCK_STREAM))
 
         async def start() -> None:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.setblocking(False)
-            sock.bind(address)
             server = await self.loop.create_server(factory, sock=sock, backlog=LISTEN_BACKLOG)
             if on_listening is not None:
                 on_listening(server)
@@ -127,8 +131,9 @@
         self, address: SocketAddress, protocol: asyncio.DatagramProtocol
     ) -> asyncio.Task[Any]:
         """See `Context.listen_datagrams`."""
+        sock = self.bound_sockets.pop(Binding(address, socket.SOCK_DGRAM))
         return self.loop.create_task(
-            self.loop.create_datagram_endpoint(lambda: protocol, local_addr=address)
+            self.loop.create_datagram_endpoint(lambda: protocol, sock=sock)
         )
 
     def stop(self) -> None:
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -221,6 +221,97 @@
             program.end()
 
 
+def held_port(ip, port, kind=socket.SOCK_STREAM):
+    """A socket of another process's kind: it listens, and nobody else may."""
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.bind((ip, port))
+    if kind == socket.SOCK_STREAM:
+        sock.listen()
+    return sock
+
+
+def lone_daemon(tmp_path, name):
+    """Settings of a daemon whose seeds name itself, and the ports that it listens on."""
+    first = free_block(INNER_PORTS + 4)
+    control, directory, front, ready = range(first + INNER_PORTS, first + INNER_PORTS + 4)
+    listen = {
+        "registry": f'control = "127.0.0.1:{control}"\ndirectory = "127.0.0.1:{directory}"',
+        "store": "",
+        "proxy": f'front = "127.0.0.1:{front}"\nready = "127.0.0.1:{ready}"',
+    }[name]
+    path = tmp_path / f"{name}.toml"
+    path.write_text(
+        SETTINGS.format(
+            name=name,
+            ip="127.0.0.1",
+            klass="edge" if name == "proxy" else "core",
+            inner=first,
+            innerEnd=first + INNER_PORTS - 1,
+            control=control,
+            listen=listen,
+            data="" if name == "proxy" else f'dataPath = "{tmp_path}"',
+        )
+    )
+    inner = {"registry": first, "store": first + 1, "proxy": first}[name]
+    return path, {"inner": inner, "control": control, "front": front, "ready": ready}
+
+
+@pytest.mark.parametrize(
+    "name, held, kind",
+    [
+        ("store", "inner", socket.SOCK_STREAM),
+        ("store", "inner", socket.SOCK_DGRAM),
+        ("registry", "inner", socket.SOCK_STREAM),
+        ("registry", "control", socket.SOCK_STREAM),
+        ("proxy", "front", socket.SOCK_STREAM),
+        ("proxy", "ready", socket.SOCK_STREAM),
+    ],
+)
+def test_a_daemon_whose_address_is_taken_says_so_and_ends(tmp_path, name, held, kind):
+    """Guards against a daemon that goes on unheard: a store elected itself, and nobody reached it."""
+    path, ports = lone_daemon(tmp_path, name)
+    with held_port("127.0.0.1", ports[held], kind):
+        program = Program(name, path)
+        try:
+            program.logs("trying again for")
+            program.logs("can't listen")
+            assert program.process.wait(30) == 3
+            program.text += program.process.stderr.read()
+        finally:
+            program.end()
+    text = program.text.decode()
+    assert f"127.0.0.1:{ports[held]} is taken" in text
+    assert "elected" not in text
+    assert "membership" not in text
+
+
+def test_a_daemon_waits_for_an_address_that_the_process_before_still_holds(tmp_path):
+    """Guards against a restart that fails while the old process ends in order."""
+    path, ports = lone_daemon(tmp_path, "store")
+    with held_port("127.0.0.1", ports["inner"]):
+        program = Program("store", path)
+        program.logs("trying again for")
+    try:
+        program.logs("elected leader")
+        program.process.send_signal(signal.SIGTERM)
+        assert program.process.wait(30) == 0
+    finally:
+        program.end()
+
+
+def test_a_daemon_that_waits_for_an_address_ends_when_it_is_told_to(tmp_path):
+    """Guards against a shutdown of parts that were never started."""
+    path, ports = lone_daemon(tmp_path, "registry")
+    with held_port("127.0.0.1", ports["control"]):
+        program = Program("registry", path)
+        try:
+            program.logs("trying again for")
+            program.process.send_signal(signal.SIGTERM)
+            assert program.process.wait(30) == 0
+        finally:
+            program.end()
+
+
 @pytest.mark.parametrize("name", ["proxy", "registry", "store"])
 def test_a_daemon_that_is_told_to_reload_while_it_starts_goes_on(name):
     """Guards against a SIGHUP that ends a process whose handlers aren't set yet."""
