--- a/stagevale/daemons/daemon.py
+++ b/stagevale/daemons/daemon.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable
+from typing import ClassVar
 
 from stagevale.membership.membership import Membership
 from stagevale.placement.rule import next_placement
@@ -28,8 +29,11 @@
         program: its name.
         settings_path: where its settings are read from.
         stopping: a graceful shutdown has begun.
+        served: the interfaces that it serves, by their names in the settings.
     """
 
+    served: ClassVar[tuple[str, ...]] = ()
+
     __slots__ = (
         "context",
         "rpc",
@@ -62,13 +66,17 @@
         )
 
     def bindings(self) -> list[Binding]:
-        """The addresses that this daemon listens on: for its peers, and what its settings name."""
+        """The addresses that this daemon listens on: for its peers, and for what it serves.
+
+        The settings are the machine's: they name what its other daemons serve, too.
+        """
         peers = socket_address(self.rpc.address)
-        names = sorted(self.context.settings.listen)
+        listen = self.context.settings.listen
+        served = [listen[name] for name in self.served if name in listen]
         return [
             Binding(peers, socket.SOCK_STREAM),
             Binding(peers, socket.SOCK_DGRAM),
-            *[Binding(self.context.settings.listen[name], socket.SOCK_STREAM) for name in names],
+            *[Binding(address, socket.SOCK_STREAM) for address in served],
         ]
 
     def start(self) -> None:
--- a/stagevale/daemons/proxy.py
+++ b/stagevale/daemons/proxy.py
@@ -50,6 +50,8 @@
         instances_received: a feeder has said which endpoints there are.
     """
 
+    served = ("front", "ready")
+
     __slots__ = (
         "forwarder",
         "targets",
--- a/stagevale/daemons/registry.py
+++ b/stagevale/daemons/registry.py
@@ -25,7 +25,6 @@
 DEPARTURES_FOLDER = "departures"
 SINGLETON_FOLDER = "duties"
 SESSIONS_FOLDER = "sessions"
-SERVED_PORTS = ("control", "directory")
 # How long clients may keep the directory's answers, as a share of the longest that counts.
 TTL_SHARE = 0.8
 # Shares of the grace period: a shutdown takes at least the one, so that shards are handed over, and
@@ -43,6 +42,8 @@
         singleton: its part in the platform's singleton roles, or None.
     """
 
+    served = ("control", "directory")
+
     __slots__ = ("service", "api", "singleton", "_singleton_left")
 
     def __init__(self, context: Context, settings_path: str) -> None:
@@ -66,7 +67,7 @@
                 tables = NumberedTables(self._folder(SINGLETON_FOLDER))
                 self.join_singleton(VoteStorage(tables, read_singleton_value))
         self.service.start()
-        for name in SERVED_PORTS:
+        for name in self.served:
             address = settings.listen.get(name)
             if address:
                 self.context.listen(address, self._accept_caller)
--- a/stagevale/forwarding/client_connection.py
+++ b/stagevale/forwarding/client_connection.py
@@ -88,10 +88,8 @@
         self._read_since_ms = None
         self._stop_timer()
         self._unread = b""
-        if self._paused:
-            # A client that leaves is only noticed while the connection is read.
-            self._paused = False
-            self.transport.resume_reading()
+        # A client that leaves is only noticed while the connection is read.
+        self._resume_reading()
 
     def drain(self) -> None:
         """Ends the connection with what was read so far: an idle one now, one whose only request is
@@ -189,6 +187,11 @@
             self._paused = True
             self.transport.pause_reading()
 
+    def _resume_reading(self) -> None:
+        if self._paused:
+            self._paused = False
+            self.transport.resume_reading()
+
     def _read(self) -> None:
         try:
             while not self._last_read and len(self.requests) < MOST_READ_AHEAD:
@@ -330,9 +333,7 @@
                 self._restart_timer(self.forwarder.snapshot.limits.idle_ms)
         if self._unread and len(self.requests) < MOST_READ_AHEAD:
             data, self._unread = self._unread, b""
-            if self._paused:
-                self._paused = False
-                self.transport.resume_reading()
+            self._resume_reading()
             self.data_received(data)
 
     def _write(self, request: Request) -> bool:
--- a/stagevale/forwarding/endpoint_connection.py
+++ b/stagevale/forwarding/endpoint_connection.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import http
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
 import h11
 
 from stagevale.balancing.target import Target
 from stagevale.forwarding.answer import BODILESS_STATUSES, Answer
+from stagevale.forwarding.body_writer import BodyWriter
 from stagevale.forwarding.headers import without_hop_headers
 from stagevale.forwarding.request import Headers, Request
 from stagevale.rpc.codec import socket_address
@@ -18,8 +19,6 @@
 if TYPE_CHECKING:
     from stagevale.forwarding.forwarder import Forwarder
 
-# A body up to this size goes out with its head, in one call of the system.
-MOST_JOINED_BYTES = 64 * 1024
 MOST_ANSWER_BYTES = 64 * 1024 * 1024
 # A connection may take a fourteenth of `contactMs` to come up; an idle one is kept for this share of
 # it where the endpoint doesn't tell.
@@ -106,8 +105,7 @@
         "_surplus",
         "_ended",
         "_carried",
-        "_unsent",
-        "_holds_writing",
+        "_writer",
     )
 
     def __init__(self, forwarder: "Forwarder", target: Target) -> None:
@@ -128,8 +126,7 @@
         self._surplus = 0
         self._ended = False
         self._carried = 0
-        self._unsent: Iterator[bytes] | None = None
-        self._holds_writing = False
+        self._writer = BodyWriter()
 
     # opening
 
@@ -157,7 +154,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection is up."""
-        self.transport = transport
+        self.transport = self._writer.transport = transport
         took_ms = self.context.now_ms() - self._opened_ms
         self.forwarder.chooser.estimates.add_connected(self.target.region, took_ms)
         if self._closing:
@@ -205,38 +202,15 @@
         self._written = True
         self._carried += 1
         self.forwarder.on_sent(request, self.target)
-        if request.body.size <= MOST_JOINED_BYTES:
-            body = b"".join(request.body)
-            if body:
-                data += self._parser.send(h11.Data(data=body))
-            data += self._parser.send(h11.EndOfMessage())
-            self.transport.write(data)
-            return
-        self.transport.write(data)
-        self._unsent = iter(request.body)
-        self._write_body()
-
-    def _write_body(self) -> None:
-        """Writes the pieces of a large body, as fast as the endpoint reads them."""
-        while self._unsent is not None and not self._holds_writing:
-            if self._closing or self.transport.is_closing():
-                self._unsent = None
-                return
-            piece = next(self._unsent, None)
-            if piece is None:
-                self._unsent = None
-                self._parser.send(h11.EndOfMessage())
-            else:
-                self.transport.write(self._parser.send(h11.Data(data=piece)))
+        self._writer.write(self._parser, data, request.body)
 
     def pause_writing(self) -> None:
         """The endpoint reads more slowly than the body is written."""
-        self._holds_writing = True
+        self._writer.hold()
 
     def resume_writing(self) -> None:
         """The endpoint has read what was written."""
-        self._holds_writing = False
-        self._write_body()
+        self._writer.go_on()
 
     def _encode_head(self, request: Request, left_ms: int) -> bytes:
         """The bytes of a request's head.
@@ -404,7 +378,7 @@
         if self._closing:
             return
         self._closing = True
-        self._unsent = None
+        self._writer.give_up()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
         if self in self.target.idle:
--- a/stagevale/sessions/replica.py
+++ b/stagevale/sessions/replica.py
@@ -3,17 +3,17 @@
 """
 
 import functools
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from stagevale.configuration.value import SessionGroup
-from stagevale.quorum.call import majority
-from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.message import message_body
 from stagevale.rpc.transport import Reply, RpcTransport
 from stagevale.runtime.context import Context
+from stagevale.sessions.group_replica import GroupReplica
 from stagevale.sessions.groups import NEW_GROUP
+from stagevale.sessions.learn_call import LearnCall
 from stagevale.sessions.messages import (
     AcquireRequest,
     FindSessionsReply,
@@ -33,13 +33,10 @@
     LeaseVersion,
     SessionRecord,
 )
-from stagevale.sessions.session_id import is_scoped, name_of
 from stagevale.storage.row_log import Rows
 from stagevale.storage.row_log_writer import Log, RowLogWriter
 
-# Shares of `contactMs`: how long a replica may take to hand its records over, and how soon to ask
-# again.
-SYNC_TIMEOUT_SHARE = 0.2
+# How soon to ask again for records that no majority has handed over, as a share of `contactMs`.
 SYNC_RETRY_SHARE = 0.1
 NOT_A_REPLICA = SessionReply(ReplyCode.NOT_A_REPLICA)
 # The first field of a row of the log.
@@ -57,94 +54,6 @@
     return [RECORD_ROW, name, session, fields]
 
 
-class GroupReplica:
-    """What this registry knows of one group and, as a member, its records.
-
-    Attributes:
-        version, members, former_members: as in `SessionGroup`.
-        learned_version: the version whose records are complete here.
-        sealed_version: a later version has begun to learn from here: nothing more is written under
-            earlier ones.
-        records: by encoded identity of the session.
-        learning: learning is under way.
-    """
-
-    __slots__ = (
-        "version",
-        "members",
-        "former_members",
-        "learned_version",
-        "sealed_version",
-        "records",
-        "learning",
-        "_ids_by_name",
-    )
-
-    def __init__(self) -> None:
-        self.version = 0
-        self.members: tuple[str, ...] = ()
-        self.former_members: tuple[str, ...] = ()
-        self.learned_version = 0
-        self.sealed_version = 0
-        self.records: dict[str, SessionRecord] = {}
-        self.learning = False
-        self._ids_by_name: dict[str, set[str]] = {}
-
-    def record_of(self, session: str) -> SessionRecord:
-        """A session's record; a new one where there is none."""
-        record = self.records.get(session)
-        if record is None:
-            record = self.records[session] = SessionRecord()
-            self._ids_by_name.setdefault(name_of(session), set()).add(session)
-        return record
-
-    def ids_of(self, name: str) -> Collection[str]:
-        """The encoded identities of all sessions that bear a name."""
-        return self._ids_by_name.get(name, ())
-
-    def clear(self) -> None:
-        """Drops all records."""
-        self.records = {}
-        self._ids_by_name = {}
-
-    def key_of_other_release(
-        self, session: str, key: str, fingerprint: str, now_ms: float
-    ) -> KeyRecord | None:
-        """A key that the other release has reserved, where it may be the same request.
-
-        Records of release 523ef46 and before don't say whose they are: the key may have run, so it
-        must not run again, and its answer may be another tenant's, so it goes to nobody.
-
-        Args:
-            session: the encoded identity under which the key is to be reserved.
-            key: the key.
-            fingerprint: of the request.
-            now_ms: the present.
-        """
-        name = name_of(session)
-        others = [name] if is_scoped(session) else [id for id in self.ids_of(name) if id != session]
-        for other in others:
-            record = self.records.get(other)
-            known = record.keys.get(key) if record is not None else None
-            if (
-                known is not None
-                and known.expires_ms > now_ms
-                and known.state != KeyState.NOT_RUN
-                and known.fingerprint == fingerprint
-            ):
-                return known.without_answer()
-        return None
-
-    def is_complete(self, version: int) -> bool:
-        """True where records under this version are complete here and may be written."""
-        return (
-            self.version == version
-            and self.learned_version == version
-            and self.sealed_version <= version
-            and self.former_members != NEW_GROUP
-        )
-
-
 class SessionReplica:
     """Keeps session records for proxies; learns before it replies, and hands over what a new member
     should have.
@@ -427,59 +336,3 @@
                 if self._is_member(group)
             },
         }
-
-
-class LearnCall:
-    """Asks the members of a group for its records until a majority has handed them over."""
-
-    __slots__ = ("replica", "name", "version", "peers", "least_version", "replies", "_waiting")
-
-    def __init__(self, replica: SessionReplica, name: str, group: GroupReplica) -> None:
-        self.replica = replica
-        self.name = name
-        self.version = group.version
-        self.peers = group.former_members or group.members
-        # Records of the version before will do, where there are former members.
-        self.least_version = group.version - 1 if group.former_members else group.version
-        self.replies: list[Mapping[str, Any]] = []
-        self._waiting = set(self.peers)
-        own_address = replica.rpc.address
-        if own_address in self.peers:
-            self._waiting.discard(own_address)
-            if group.learned_version >= self.least_version:
-                # This registry's own records are at hand.
-                self.replies.append({})
-
-    def start(self) -> None:
-        """Sends the requests."""
-        if not self._waiting:
-            self._count()
-            return
-        context = self.replica.context
-        timeout_ms = context.settings.bounds.contact_ms * SYNC_TIMEOUT_SHARE
-        request = SyncRequest(self.name, self.version)
-        for peer in list(self._waiting):
-            self.replica.rpc.request(
-                peer,
-                MessageKind.SESSION_SYNC,
-                request,
-                SyncReply,
-                functools.partial(self._replied, peer),
-                timeout_ms,
-            )
-
-    def _replied(self, peer: str, reply: SyncReply | None, error: RequestError | None) -> None:
-        self._waiting.discard(peer)
-        if reply is not None and reply.learned_version >= self.least_version:
-            self.replies.append(reply.records)
-        self._count()
-
-    def _count(self) -> None:
-        group = self.replica.groups[self.name]
-        if not group.learning:
-            return
-        complete = len(self.replies) >= majority(len(self.peers))
-        if complete and group.version == self.version:
-            self.replica.finish_learning(self.name, self.version, self.replies)
-        elif not self._waiting:
-            self.replica.retry_learning(self.name)
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -285,6 +285,21 @@
     assert "membership" not in text
 
 
+def test_a_store_leaves_the_addresses_of_the_registry_on_its_machine_alone(tmp_path):
+    """Guards against a daemon that wants what its machine's settings name for another one."""
+    path, ports = lone_daemon(tmp_path, "store")
+    path.write_text(
+        path.read_text().replace("[listen]", f'[listen]\ncontrol = "127.0.0.1:{ports["control"]}"')
+    )
+    with held_port("127.0.0.1", ports["control"]):
+        program = Program("store", path)
+        try:
+            program.logs("elected leader")
+        finally:
+            program.end()
+    assert "trying again" not in program.text.decode()
+
+
 def test_a_daemon_waits_for_an_address_that_the_process_before_still_holds(tmp_path):
     """Guards against a restart that fails while the old process ends in order."""
     path, ports = lone_daemon(tmp_path, "store")
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+import h11
 import pytest
-from support.endpoints import Client, Scene, good, request, route
+from support.endpoints import Scene, good, request, route
 
 from soak.uploads import PREFIXES, measure_uploads
-from stagevale.forwarding.endpoint_connection import MOST_JOINED_BYTES
+from stagevale.forwarding.body_writer import MOST_JOINED_BYTES, BodyWriter
+from stagevale.forwarding.request_body import BodyBudget, RequestBody
 
 MB = 1024 * 1024
 # Of 2 MB the bodies may take 1.2.
@@ -126,48 +128,52 @@
 class SlowTransport:
     """A connection to an endpoint that reads nothing until it is told to."""
 
-    def __init__(self, protocol):
-        self.protocol, self.written, self.aborted = protocol, [], False
-
-    def is_closing(self):
-        return self.aborted
+    def __init__(self, writer):
+        self.writer, self.written = writer, []
 
     def write(self, data):
         self.written.append(data)
-        self.protocol.pause_writing()
+        self.writer.hold()
 
-    def get_write_buffer_size(self):
-        return 1
 
-    def abort(self):
-        self.aborted = True
+def started_request():
+    """A parser that has encoded a head, the head, and the body that is to follow."""
+    pieces = [bytes([number]) * 65536 for number in range(12)]
+    body = RequestBody(BodyBudget(scene_of().context))
+    assert all(body.append(piece) for piece in pieces)
+    parser = h11.Connection(h11.CLIENT)
+    headers = [("Host", "h"), ("Content-Length", str(body.size))]
+    head = parser.send(h11.Request(method="POST", target="/e/x", headers=headers))
+    return parser, head, body
 
 
 def test_a_large_body_is_written_as_fast_as_its_endpoint_reads():
-    """Guards against a whole body in the buffer of a connection whose endpoint reads slowly, and
-    against a connection that is used again under the rest of a body.
-    """
-    scene = scene_of(silent)
-    client = Client(scene.world)
-    scene.client(client=client)
-    whole = upload("1", path="/p/x")
-    for start in range(0, len(whole), 65536):
-        client.transport.write(whole[start : start + 65536])
-        scene.world.run(1)
-    scene.world.run(20)
-    connection = scene.endpoints[0].connections[0].other.protocol
-    transport = SlowTransport(connection)
-    connection.transport = transport
-    connection._unsent = iter(connection.request.body)  # noqa: SLF001 - as if nothing was written yet
-    connection._parser.send = lambda event: getattr(event, "data", b"")  # noqa: SLF001 - bytes as they are
-    connection._write_body()  # noqa: SLF001 - see above
-    assert len(transport.written) == 1
-    connection.resume_writing()
-    assert len(transport.written) == 2
-    connection.give_up()
-    connection.resume_writing()
-    assert len(transport.written) == 2
-    assert transport.aborted
+    """Guards against a whole body in the buffer of a connection whose endpoint reads slowly."""
+    parser, head, body = started_request()
+    writer = BodyWriter()
+    transport = writer.transport = SlowTransport(writer)
+    writer.write(parser, head, body)
+    assert transport.written == [head]
+    for count in range(1, 13):
+        assert parser.our_state is h11.SEND_BODY
+        writer.go_on()
+        assert len(transport.written) == 1 + count
+    writer.go_on()
+    assert transport.written[1:] == list(body)
+    assert parser.our_state is h11.DONE
+
+
+def test_a_body_that_is_given_up_is_written_no_further():
+    """Guards against bytes on a connection that has ended, or under the next request."""
+    parser, head, body = started_request()
+    writer = BodyWriter()
+    transport = writer.transport = SlowTransport(writer)
+    writer.write(parser, head, body)
+    writer.go_on()
+    writer.give_up()
+    writer.go_on()
+    assert transport.written == [head, next(iter(body))]
+    assert parser.our_state is h11.SEND_BODY
 
 
 @pytest.mark.parametrize("count", [3, 30])
