Shards: one owner, by a majority's promises under the highest ballot

Cause: a candidate took its own promise for its election; one whose majority came late went over a higher ballot that it had promised since; an owner that was cut off while another was elected never heard of it.

Evidence: all 15 tests of tests/test_shard_ownership.py fail before.

Change: its own promise doesn't make a candidate the owner; a candidate that lost and knows of no higher ballot runs again; an owner asks the other replicas for its ballot once a round and gives the shard up to a higher one. No new message: it is the same request as a candidacy's.

Why it works: a replica of the majority that promised the higher ballot answers the older owner within a round.

Measured: 15 tests pass after; 233 of registrations, departures, membership and compatibility pass.

--- a/stagevale/discovery/shard_ownership.py
+++ b/stagevale/discovery/shard_ownership.py
@@ -1,5 +1,6 @@
 """Who owns a shard of the instances; the owner declares those unhealthy that nobody hears."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 from stagevale.discovery.instance import Instance
@@ -24,7 +25,11 @@
 
 
 class Ownership(NamedTuple):
-    """The owner of a shard and the ballot that it won with."""
+    """The owner of a shard and the ballot that it won with.
+
+    Where the ballot is another registry's, it was promised here: that candidate is taken for the
+    owner, though it may have lost.
+    """
 
     owner: str
     ballot: Ballot
@@ -68,11 +73,14 @@
 
     def campaign(self) -> None:
         """Runs for the shards without a live owner of which this registry is the first live
-        replica.
+        replica, and asks whether those that it owns are still its own.
         """
         if self.service.stopping:
             return
+        owned = [shard for shard in SHARDS if self.owns(shard)]
         vacant = [shard for shard in SHARDS if self._may_run_for(shard)]
+        for shard in owned:
+            self._confirm(shard)
         for shard in vacant:
             self._run_for(shard)
 
@@ -81,12 +89,21 @@
         own_address = self.rpc.address
         if own_address not in replicas:
             return False
+        if self._has_run_in_vain(shard):
+            return True
         owner = self.owner_of(shard)
         if owner in replicas and (owner == own_address or self._is_live(owner)):
             return False
         live = [address for address in replicas if address == own_address or self._is_live(address)]
         return live[0] == own_address
 
+    def _has_run_in_vain(self, shard: str) -> bool:
+        """True where no ballot above this registry's own is known, and it doesn't own the shard.
+
+        Others may take it for the owner by the ballots that they promised it, so none of them runs.
+        """
+        return self._voter.highest(shard).candidate == self._id and shard not in self._owners
+
     def _is_live(self, address: str) -> bool:
         return self.membership.is_reachable(address) and self.service.is_live(address)
 
@@ -96,10 +113,13 @@
         ballot = Ballot(self._term, self._id)
 
         def is_promise(_replica: str, promise: MemoryPromise) -> bool:
-            self._term = max(self._term, promise.promised.term)
+            self._on_promised(shard, promise.promised)
             return promise.granted
 
         def elected() -> None:
+            if self._voter.highest(shard) != ballot:
+                # A higher ballot was promised here meanwhile: its candidate may have been elected.
+                return
             self._owners[shard] = Ownership(self.rpc.address, ballot)
             self.context.log.info("registry: owns shard %s.", shard)
 
@@ -107,11 +127,39 @@
         for address in replicas:
             self._ask_for_promise(address, ShardCampaign(shard, ballot), call)
 
+    def _confirm(self, shard: str) -> None:
+        """Asks the other replicas for this owner's ballot anew: one that was cut off while another
+        was elected hears of that.
+        """
+        message = ShardCampaign(shard, self._owners[shard].ballot)
+        for address in self.service.replicas_of(shard):
+            if address != self.rpc.address:
+                self._ask(address, message, lambda promise: self._on_confirmed(shard, promise))
+
+    def _on_confirmed(self, shard: str, promise: MemoryPromise | None) -> None:
+        if promise is not None:
+            self._on_promised(shard, promise.promised)
+
+    def _on_promised(self, shard: str, ballot: Ballot) -> None:
+        """Another replica has promised this ballot: one above all that are known here counts."""
+        self._term = max(self._term, ballot.term)
+        if ballot > self._voter.highest(shard):
+            self._voter.promise(shard, ballot)
+            self._owners[shard] = Ownership(ballot.address, ballot)
+
     def _ask_for_promise(
         self, address: str, message: ShardCampaign, call: QuorumCall[MemoryPromise]
+    ) -> None:
+        self._ask(address, message, lambda promise: call.replied(address, promise))
+
+    def _ask(
+        self,
+        address: str,
+        message: ShardCampaign,
+        on_reply: Callable[[MemoryPromise | None], object],
     ) -> None:
         def replied(promise: MemoryPromise | None, _error: RequestError | None) -> None:
-            call.replied(address, promise)
+            on_reply(promise)
 
         timeout_ms = self.service.interval_ms * CAMPAIGN_TIMEOUT_SHARE
         self.rpc.request(
@@ -121,7 +169,10 @@
     def _on_campaign(self, peer: str, message: ShardCampaign, reply: Reply) -> None:
         ballot = message.ballot
         promise = self._voter.promise(message.shard, ballot)
-        if promise.granted:
+        if promise.granted and ballot.candidate == self._id:
+            # Its own promise doesn't make a candidate the owner: only a majority's does.
+            self._owners.pop(message.shard, None)
+        elif promise.granted:
             self._owners[message.shard] = Ownership(ballot.address, ballot)
         reply(promise)
 
