--- a/soak/clients.py
+++ b/soak/clients.py
@@ -142,7 +142,7 @@
 
 
 class PipeliningClient(Client):
-    """Keeps several requests under way on one connection."""
+    """Keeps several requests under way on one connection, for as long as it lasts."""
 
     async def step(self) -> None:
         """See `Client.step`."""
@@ -151,10 +151,8 @@
         connection = await self.connect()
         if connection is None:
             return
-        for _ in range(2 * depth):
-            if not connection.usable:
-                break
-            sent, headers = self.request("/pure/", f"work-{self.draw.choice((5, 40, 300))}/x")
+        while connection.usable:
+            sent, headers = self.request("/pure/", f"work-{self.draw.choice((40, 200, 400))}/x")
             await connection.send(sent, headers)
             under_way.append(sent)
             if len(under_way) >= depth:
