--- a/stagevale/api/http_connection.py
+++ b/stagevale/api/http_connection.py
@@ -38,7 +38,6 @@
         "_idle_timer",
         "_idle_ms",
         "_basis_serial",
-        "_ended",
     )
 
     def __init__(
@@ -58,7 +57,6 @@
         self.dispatch = dispatch
         self.current_serial = current_serial
         self._basis_serial = current_serial()
-        self._ended = False
         self.transport: asyncio.Transport | None = None
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD_BYTES)
         self._request: h11.Request | None = None
