--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -138,6 +138,7 @@
         for machine in self.machines:
             for program in machine.programs:
                 self.start(machine, program)
+            self.history.spans.append(Span(machine.name, "started", now_ms(), now_ms()))
 
     def start(self, machine: Machine, program: str) -> None:
         """Starts one daemon."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -28,6 +28,8 @@
 CANCEL_POLL_S = 0.2
 CLIENTS_EACH_PROXY = 5
 LEAST_CLIENTS = 12
+# What one process can play beside its daemons.
+MOST_CLIENTS = 36
 # The share that is served at the end is that of the last seconds.
 LAST_S = 4.0
 
@@ -80,7 +82,7 @@
             deployment,
             history,
             plan.seed,
-            max(LEAST_CLIENTS, CLIENTS_EACH_PROXY * plan.size.proxies),
+            min(MOST_CLIENTS, max(LEAST_CLIENTS, CLIENTS_EACH_PROXY * plan.size.proxies)),
             most_upload_mb,
         )
         background: list[Coroutine[Any, Any, None]] = [client.run() for client in clients]
