Read once more: one way to wait for turns of the loop; a command's subject is found once

The subject of a command is looked up by its text, without a set made for each, and once a command. A shard's candidate asks as its owner does, without a method between. In the soak a single client is a kept one that closes; a method, an attribute and a constant that stood twice or unused go.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -114,8 +114,8 @@
         return (*self.request(prefix, work), b"")
 
 
-class SingleClient(Client):
-    """A new connection for each request."""
+class KeptClient(Client):
+    """One connection for as long as it lasts."""
 
     async def step(self) -> None:
         """See `Client.step`."""
@@ -125,20 +125,16 @@
         sent, headers, body = self.plain_request()
         await connection.send(sent, headers, body)
         await self.finish(connection, sent)
-        connection.close()
 
 
-class KeptClient(Client):
-    """One connection for as long as it lasts."""
+class SingleClient(KeptClient):
+    """A new connection for each request."""
 
     async def step(self) -> None:
         """See `Client.step`."""
-        connection = await self.connect()
-        if connection is None:
-            return
-        sent, headers, body = self.plain_request()
-        await connection.send(sent, headers, body)
-        await self.finish(connection, sent)
+        await super().step()
+        if self.connection is not None:
+            self.connection.close()
 
 
 class PipeliningClient(Client):
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -83,10 +83,6 @@
         """All machines."""
         return [*self.core, *self.edges]
 
-    def controls(self) -> list[Machine]:
-        """The machines that serve `control`."""
-        return list(self.core)
-
     # settings
 
     def _write_settings(self, machine: Machine, first_start: bool) -> None:
--- a/soak/keyed.py
+++ b/soak/keyed.py
@@ -5,7 +5,7 @@
 import random
 from typing import NamedTuple
 
-from soak.clients import Client, KeyedClient
+from soak.clients import MB, Client, KeyedClient
 from soak.clock import MS_PER_S, now_ms
 from soak.configuration import SERVICES
 from soak.deployment import Deployment
@@ -19,7 +19,6 @@
 
 REASON_CHARACTERS = 60
 SESSION_FOLDER = "sessions"
-BYTES_PER_MB = 1024 * 1024
 
 
 class Window(NamedTuple):
@@ -120,7 +119,7 @@
         dict(refusals),
         deployment.peaks_mb(),
         len(files),
-        size / BYTES_PER_MB,
+        size / MB,
     )
 
 
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -30,7 +30,6 @@
         self.version = 0
         self._changing = asyncio.Lock()
         self._zones = {zone: asyncio.Lock() for zone in ZONES}
-        self._copies: set[asyncio.Task[None]] = set()
 
     async def change(self) -> bool:
         """Replaces the configuration; returns whether that was acknowledged."""
--- a/stagevale/api/registry_api.py
+++ b/stagevale/api/registry_api.py
@@ -26,6 +26,7 @@
 from stagevale.configuration.commands import OK, UNVERSIONED_COMMANDS, CommandKind
 from stagevale.discovery.registry_service import RegistryService
 from stagevale.placement.fronts import MOST_FRONTS
+from stagevale.runtime.turns import call_after_turns
 
 MOST_ID_CHARACTERS = 200
 MOST_SESSION_BYTES = 256
@@ -111,7 +112,10 @@
 
     def _command(self, kind: CommandKind, payload: str, call: Call, answer: Answer) -> None:
         if kind in UNVERSIONED_COMMANDS:
-            self._forward_if_caller_waits(TURNS_UNTIL_END, kind, payload, call, answer)
+            arguments = (kind, payload, call, answer)
+            call_after_turns(
+                self.context, TURNS_UNTIL_END, self._forward_if_caller_waits, *arguments
+            )
         else:
             self._forward(kind, payload, call, answer)
 
@@ -120,16 +124,12 @@
         configuration.send_command(kind, payload, answer_command(answer), call.basis_serial)
 
     def _forward_if_caller_waits(
-        self, turns: int, kind: CommandKind, payload: str, call: Call, answer: Answer
+        self, kind: CommandKind, payload: str, call: Call, answer: Answer
     ) -> None:
         """Forwards a command unless the end of its connection is found right behind it: its caller
         has given it up.
         """
-        if turns > 0:
-            self.context.call_soon(
-                self._forward_if_caller_waits, turns - 1, kind, payload, call, answer
-            )
-        elif call.caller_waits():
+        if call.caller_waits():
             self._forward(kind, payload, call, answer)
         else:
             self.context.log.info("calls: %s is not carried out: its caller has gone.", kind)
--- a/stagevale/configuration/commands.py
+++ b/stagevale/configuration/commands.py
@@ -45,7 +45,7 @@
     )
 )
 ZONE_SUBJECT, PARTNER_SUBJECT, ROLLOUT_SUBJECT = "zone", "partner", "rollout"
-SUBJECT_TYPES = {
+SUBJECT_TYPES: dict[str, str] = {
     CommandKind.EVACUATE: ZONE_SUBJECT,
     CommandKind.END_EVACUATION: ZONE_SUBJECT,
     CommandKind.OFFER: PARTNER_SUBJECT,
@@ -64,7 +64,7 @@
 
 def subject_of(kind: str, payload: str) -> Subject | None:
     """The subject of a command; None for one that changes or reads the whole configuration."""
-    subject_type = SUBJECT_TYPES.get(CommandKind(kind)) if kind in set(CommandKind) else None
+    subject_type = SUBJECT_TYPES.get(kind)
     if subject_type is None:
         return None
     name, _, _ = payload.partition("\n")
--- a/stagevale/configuration/node.py
+++ b/stagevale/configuration/node.py
@@ -11,6 +11,7 @@
     CommandKind,
     FindHandler,
     Outcome,
+    Subject,
     subject_of,
 )
 from stagevale.configuration.last_changes import LastChanges
@@ -144,10 +145,10 @@
             answer = CommandReply(outcome.status, outcome.text, left_ms)
             self.answer_when_confirmed([command], answer)
             return
-        if self._is_superseded(command):
+        subject, serial = subject_of(command.kind, command.payload), outcome.value.serial
+        if subject is not None and self._is_superseded(command, subject):
             self._reject_superseded(command)
             return
-        subject, serial = subject_of(command.kind, command.payload), outcome.value.serial
 
         def proposed(committed: bool) -> None:
             if committed and outcome.withdraws:
@@ -159,16 +160,13 @@
 
         self.propose(outcome.value, proposed)
 
-    def _is_superseded(self, command: Command) -> bool:
+    def _is_superseded(self, command: Command, subject: Subject) -> bool:
         """True for a command whose subject was changed after the command's basis: its caller may
         have given it up, had it carried out by another daemon, and undone that since.
         """
         if command.basis_serial is None or command.kind not in UNVERSIONED_COMMANDS:
             return False
-        subject = subject_of(command.kind, command.payload)
-        return subject is not None and self.last_changes.changed_since(
-            subject, command.basis_serial
-        )
+        return self.last_changes.changed_since(subject, command.basis_serial)
 
     def _reject_superseded(self, command: Command) -> None:
         self.context.log.info(
--- a/stagevale/discovery/configuration_client.py
+++ b/stagevale/discovery/configuration_client.py
@@ -16,6 +16,7 @@
 from stagevale.rpc.request_terms import RequestTerms
 from stagevale.rpc.transport import Reply
 from stagevale.runtime.clock import LONG_AGO_MS
+from stagevale.runtime.turns import call_after_turns
 
 if TYPE_CHECKING:
     from stagevale.discovery.registry_service import RegistryService
@@ -156,23 +157,20 @@
         if value.serial <= self.serial:
             return
         self.value = value
-        self._advance_basis(value.serial, TURNS_UNTIL_READ)
+        call_after_turns(self.context, TURNS_UNTIL_READ, self._advance_basis, value.serial)
         self.partners = table_of(value) if value.offers else NO_PARTNERS
         self.membership.value_serial = value.serial
         if value.sessions:
             self.service.configure_sessions(value.sessions)
         self.service.feeds.publish_value()
 
-    def _advance_basis(self, serial: int, turns: int) -> None:
-        """Makes a value the basis of calls once all that arrived before it has been read.
+    def _advance_basis(self, serial: int) -> None:
+        """Makes a value the basis of calls, once all that arrived before it has been read.
 
         A call may have waited in its socket's buffer longer than the value did, sent by a caller
         that has given it up since.
         """
-        if turns > 0:
-            self.context.call_soon(self._advance_basis, serial, turns - 1)
-        else:
-            self.basis_serial = max(self.basis_serial, serial)
+        self.basis_serial = max(self.basis_serial, serial)
 
     def _on_heartbeat(self, peer: str, message: LeaderHeartbeat, reply: Reply) -> None:
         if self.context.stalled():
--- a/stagevale/discovery/shard_ownership.py
+++ b/stagevale/discovery/shard_ownership.py
@@ -1,5 +1,6 @@
 """Who owns a shard of the instances; the owner declares those unhealthy that nobody hears."""
 
+import functools
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -125,7 +126,8 @@
 
         call: QuorumCall[MemoryPromise] = QuorumCall(replicas, is_promise, elected)
         for address in replicas:
-            self._ask_for_promise(address, ShardCampaign(shard, ballot), call)
+            on_reply = functools.partial(call.replied, address)
+            self._ask(address, ShardCampaign(shard, ballot), on_reply)
 
     def _confirm(self, shard: str) -> None:
         """Asks the other replicas for this owner's ballot anew: one that was cut off while another
@@ -147,11 +149,6 @@
             self._voter.promise(shard, ballot)
             self._owners[shard] = Ownership(ballot.address, ballot)
 
-    def _ask_for_promise(
-        self, address: str, message: ShardCampaign, call: QuorumCall[MemoryPromise]
-    ) -> None:
-        self._ask(address, message, lambda promise: call.replied(address, promise))
-
     def _ask(
         self,
         address: str,
