Metrics: elections, recovery, refusals by reason and queues, at a port of each daemon

Cause: the incident's hypotheses (a call that nobody serves, one refused at the check, a loss at the closing fault, a late recovery) couldn't be told apart: no figure counted refusals by reason, no line named a call that isn't served, and none said how long a daemon takes from its start to a vote, a confirmed leader, a configuration, a feed and readiness.

Change: daemons count in plain numbers; the text is written by prometheus-client at the port that deploy/system.toml names. A metrics port that is taken is a warning, not an end.

The recorded deploy file is compared as before, but for exactly the three new lines, which are named.

--- a/stagevale/api/http_connection.py
+++ b/stagevale/api/http_connection.py
@@ -14,6 +14,7 @@
 
 MOST_BODY_BYTES = 32 * 1024 * 1024
 MOST_HEAD_BYTES = 32 * 1024
+JSON = "application/json"
 # An idle connection is closed after so many times `contactMs`.
 IDLE_CONTACTS = 4
 
@@ -29,6 +30,7 @@
         "context",
         "dispatch",
         "current_serial",
+        "content_type",
         "transport",
         "_parser",
         "_request",
@@ -45,6 +47,7 @@
         context: Context,
         dispatch: Dispatch,
         current_serial: Callable[[], int | None] = lambda: None,
+        content_type: str = JSON,
     ) -> None:
         """Makes the protocol of a connection that was just accepted.
 
@@ -52,10 +55,12 @@
             context: the daemon's.
             dispatch: handles calls.
             current_serial: the `Call.basis_serial` of a call that is sent now.
+            content_type: of the answers' bodies.
         """
         self.context = context
         self.dispatch = dispatch
         self.current_serial = current_serial
+        self.content_type = content_type
         self._basis_serial = current_serial()
         self.transport: asyncio.Transport | None = None
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD_BYTES)
@@ -150,6 +155,8 @@
             nonlocal answered
             if not answered:
                 answered = True
+                if status >= http.HTTPStatus.BAD_REQUEST:
+                    self._count_refusal(status, body, f"{method} {path}")
                 self._answer(status, body)
 
         try:
@@ -161,13 +168,21 @@
             self.context.log.exception("calls: %s %s failed.", method, path)
             answer(http.HTTPStatus.INTERNAL_SERVER_ERROR.value, {"error": "this call failed here"})
 
+    def _count_refusal(self, status: int, body: dict[str, Any] | str, call: str) -> None:
+        """Counts a call that is refused here; of one that isn't served, its path too."""
+        metrics = self.context.metrics
+        reason = body if isinstance(body, str) else body.get("error", "")
+        metrics.refusals.increment(f"{status} {reason}")
+        if status == http.HTTPStatus.NOT_FOUND and metrics.unknown_calls.increment(call):
+            self.context.log.warning("calls: %s isn't known here.", call)
+
     def _answer(self, status: int, body: dict[str, Any] | str, close: bool = False) -> None:
         transport = self.transport
         if transport is None or transport.is_closing():
             return
         text = body if isinstance(body, str) else json.dumps(body, separators=(",", ":"))
         data = text.encode()
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+        headers = [("Content-Type", self.content_type), ("Content-Length", str(len(data)))]
         if close or self.context.stopping:
             headers.append(("Connection", "close"))
         response = h11.Response(status_code=status, headers=headers)
--- a/stagevale/consensus/election.py
+++ b/stagevale/consensus/election.py
@@ -180,6 +180,9 @@
 
         self.node.request(peer, MessageKind.LEADER_QUERY, LeaderQuery(), LeaderInfo, replied)
 
+    def _count(self, step: str) -> None:
+        self.node.context.metrics.elections.increment(f"{self.node.subject}: {step}")
+
     # campaigning
 
     def campaign(self) -> None:
@@ -188,6 +191,7 @@
         if self.campaigning or not node.may_campaign():
             return
         self.campaigning = True
+        self._count("begun")
         group = node.group()
         vote = node.acceptor.vote
         leaders: list[Ballot] = []
@@ -222,6 +226,7 @@
 
     def _on_pre_votes_lost(self, leaders: list[Ballot]) -> None:
         self.campaigning = False
+        self._count("pre-votes lost")
         if not leaders:
             self.node.on_election_lost()
             return
@@ -268,6 +273,7 @@
 
     def _on_rejected(self, ballot: Ballot, highest: Ballot) -> None:
         self.campaigning = False
+        self._count("promises lost")
         if highest > ballot:
             self.record_candidate(highest)
         self.node.on_election_lost()
@@ -288,6 +294,7 @@
             node.on_election_lost()
             return
         value = found if found is not None else node.first_value()
+        self._count("won")
         node.context.log.info(
             "%s: elected leader of the %s register, term %d, version %d.",
             node.log_prefix,
--- a/stagevale/consensus/node.py
+++ b/stagevale/consensus/node.py
@@ -28,10 +28,13 @@
 from stagevale.consensus.value import ReplicatedValue
 from stagevale.consensus.vote_storage import VoteStore
 from stagevale.membership.membership import Membership
+from stagevale.metrics.metrics import Gauge
+from stagevale.metrics.recovery import RecoveryStep, record_recovery
 from stagevale.quorum.ballot import Ballot
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.transport import Reply, RpcTransport
+from stagevale.runtime.clock import MS_PER_S
 from stagevale.runtime.context import Context
 
 ValueT = TypeVar("ValueT", bound=ReplicatedValue)
@@ -127,6 +130,19 @@
         self.reconfiguration: Reconfiguration[ValueT] = Reconfiguration(self)
         self.commands: CommandQueue[ValueT] = CommandQueue(self)
         self._set_handlers()
+        self._add_metrics()
+
+    def _add_metrics(self) -> None:
+        metrics = self.context.metrics
+        metrics.add_queue(f"{self.subject} commands", lambda: len(self.commands.pending))
+        silence = Gauge(
+            "leader_silence_seconds",
+            "Seconds since this daemon heard the leader of a group.",
+            "group",
+            self.subject,
+            lambda: self.election.since_heartbeat_ms() / MS_PER_S,
+        )
+        metrics.gauges.append(silence)
 
     # messages
 
@@ -165,6 +181,7 @@
 
     def start_voting(self) -> None:
         """The vote is loaded: takes part."""
+        record_recovery(self.context, self.log_prefix, RecoveryStep.VOTE_LOADED)
         self.election.highest_term = self.acceptor.vote.promised.term
         self.membership.contacts.extend(sorted(self.acceptor.vote.peers))
         self._run_cycle()
@@ -245,6 +262,7 @@
 
         def proposed(committed: bool) -> None:
             if committed:
+                record_recovery(self.context, self.log_prefix, RecoveryStep.LEADER_CONFIRMED)
                 self.replication.send_heartbeats()
             self.commands.process()
 
@@ -262,6 +280,7 @@
         self.context.log.info(
             "%s: leads the %s register no more: %s.", self.log_prefix, self.subject, reason
         )
+        self.context.metrics.elections.increment(f"{self.subject}: leadership ended")
         self.ballot = None
         self.committed = None
         self.busy = False
@@ -317,6 +336,7 @@
             self.step_down("another leader has been confirmed")
         if self.ballot is None:
             self.election.record_heartbeat(message.ballot)
+            record_recovery(self.context, self.log_prefix, RecoveryStep.LEADER_CONFIRMED)
         if message.group_checksum != group_checksum(self.group_view.newest_group):
             self.request(
                 message.ballot.address,
--- a/stagevale/daemons/daemon.py
+++ b/stagevale/daemons/daemon.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable
 from typing import ClassVar
 
+from stagevale.api.http_connection import HttpConnection
 from stagevale.membership.membership import Membership
+from stagevale.metrics.endpoint import TEXT_FORMAT, MetricsEndpoint
 from stagevale.placement.rule import next_placement
 from stagevale.rpc.codec import socket_address
 from stagevale.rpc.transport import RpcTransport
 from stagevale.runtime.bound_sockets import Binding
-from stagevale.runtime.context import Context
+from stagevale.runtime.context import Context, SocketAddress
 from stagevale.runtime.stall_monitor import StallMonitor
 from stagevale.settings.file_stamp import stamp_of
 from stagevale.settings.settings import SettingsError, load_settings
@@ -79,6 +81,24 @@
             *[Binding(address, socket.SOCK_STREAM) for address in served],
         ]
 
+    @property
+    def metrics_address(self) -> SocketAddress | None:
+        """Where this daemon shows its metrics; None where its settings name no port for that."""
+        settings = self.context.settings
+        port = settings.metrics_ports.get(self.program)
+        return (settings.ip, port) if port is not None else None
+
+    def listen_for_metrics(self) -> None:
+        """Shows the metrics at `metrics_address`."""
+        address = self.metrics_address
+        if address is None:
+            return
+        router = MetricsEndpoint(self.context).router
+        self.context.listen(
+            address,
+            lambda: HttpConnection(self.context, router.dispatch, content_type=TEXT_FORMAT),
+        )
+
     def start(self) -> None:
         """Starts the daemon's parts."""
         self.rpc.start()
--- a/stagevale/daemons/process.py
+++ b/stagevale/daemons/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+import socket
 import sys
 from typing import Any
 
@@ -10,7 +11,7 @@
 
 from stagevale.daemons.daemon import Daemon, DaemonFactory
 from stagevale.runtime.asyncio_context import AsyncioContext
-from stagevale.runtime.bound_sockets import AddressTakenError, bind_all
+from stagevale.runtime.bound_sockets import AddressTakenError, Binding, bind_all
 from stagevale.runtime.clock import MS_PER_S
 from stagevale.settings.settings import SettingsError, load_settings, settings_path
 
@@ -52,6 +53,20 @@
         context.bound_sockets = bound
         self.done = True
         self.daemon.start()
+        await self._show_metrics()
+
+    async def _show_metrics(self) -> None:
+        """Listens for fetches of metrics; a daemon whose port for that is taken goes without."""
+        address = self.daemon.metrics_address
+        if address is None:
+            return
+        binding = Binding(address, socket.SOCK_STREAM)
+        try:
+            self.context.bound_sockets |= await bind_all([binding], 0.0, self.context.log)
+        except (AddressTakenError, OSError) as error:
+            logging.warning("%s: no metrics: %s.", self.program, error)
+            return
+        self.daemon.listen_for_metrics()
 
 
 def run(make_daemon: DaemonFactory, program: str) -> int:
--- a/stagevale/daemons/proxy.py
+++ b/stagevale/daemons/proxy.py
@@ -16,6 +16,7 @@
 from stagevale.forwarding.client_connection import ClientConnection
 from stagevale.forwarding.forwarder import Forwarder
 from stagevale.membership.member import PROXY_PROGRAM
+from stagevale.metrics.recovery import RecoveryStep, record_recovery
 from stagevale.rpc import codec
 from stagevale.rpc.kinds import MessageKind
 from stagevale.runtime.clock import MS_PER_S
@@ -85,6 +86,9 @@
             self.usage = self.forwarder.usage = UsageCounter(settings.bounds)
         self.feed = FeedClient(self, self._on_feed)
         self.leases = LeaseClient(self)
+        metrics = context.metrics
+        metrics.add_queue("requests without an endpoint", self.forwarder.queue.length)
+        metrics.add_queue("requests under way", lambda: self.forwarder.running)
         self.membership.add_listener(self._on_membership_changed)
 
     def start(self) -> None:
@@ -148,12 +152,15 @@
         self.take_instances(rows)
         if rows or not message.has_value:
             self.instances_received = True
+            record_recovery(self.context, self.program, RecoveryStep.FED)
         self._ensure_sessions()
         self.leases.ensure_running()
         if self.is_ready() != was_ready:
             self.context.log.info(
                 "proxy: %s.", "ready to serve" if self.is_ready() else "no longer ready to serve"
             )
+            if not was_ready:
+                record_recovery(self.context, self.program, RecoveryStep.READY)
             self.feed.renew()
         self.forwarder.offer_queued()
 
--- a/stagevale/discovery/configuration_client.py
+++ b/stagevale/discovery/configuration_client.py
@@ -10,6 +10,7 @@
 from stagevale.consensus.commands import CommandReply, CommandRequest, ReadValueRequest
 from stagevale.consensus.messages import LeaderHeartbeat
 from stagevale.membership.member import STORE_PORT_OFFSET, STORE_PROGRAM
+from stagevale.metrics.recovery import RecoveryStep, record_recovery
 from stagevale.partners.table import NO_PARTNERS, table_of
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
@@ -183,6 +184,7 @@
     def _confirmed(self) -> None:
         """The value held here is the newest that a majority knows."""
         self.confirmed_ms = self.context.now_ms()
+        record_recovery(self.context, "registry", RecoveryStep.CONFIGURATION_CONFIRMED)
         self.service.feeds.start_waiting()
 
     def _on_newer_value(self, sender: str, serial: int) -> None:
--- a/stagevale/forwarding/forwarder.py
+++ b/stagevale/forwarding/forwarder.py
@@ -338,6 +338,7 @@
             reason: the body.
             may_retry: whether the client is told when to try again.
         """
+        self.context.metrics.refusals.increment(f"{status} {reason}")
         headers = [(b"Content-Type", b"text/plain")]
         if request.attempt_id:
             headers.append((b"Attempt-Id", request.attempt_id))
--- a/stagevale/forwarding/queue.py
+++ b/stagevale/forwarding/queue.py
@@ -32,6 +32,10 @@
         queue = self._requests.get(service)
         return queue.pop(0) if queue else None
 
+    def length(self) -> int:
+        """How many requests wait, of all services."""
+        return sum(len(queue) for queue in self._requests.values())
+
     def take_all(self) -> Iterator[Request]:
         """All requests, service by service; a service's queue is empty from its first on."""
         for service, queue in list(self._requests.items()):
--- a/stagevale/runtime/asyncio_context.py
+++ b/stagevale/runtime/asyncio_context.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from stagevale.metrics.metrics import Metrics
 from stagevale.runtime.bound_sockets import Binding, BoundSockets
 from stagevale.runtime.clock import MS_PER_S
 from stagevale.runtime.context import DiskCallback, Log, SocketAddress
@@ -34,6 +35,7 @@
         "tasks",
         "stopping",
         "stall_monitor",
+        "metrics",
         "bound_sockets",
     )
 
@@ -46,6 +48,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
         self.stall_monitor: StallMonitor | None = None
+        self.metrics = Metrics(self.now_ms)
+        self.metrics.add_queue("disk", self.disk.queue_length)
         self.bound_sockets: BoundSockets = {}
 
     def stalled(self) -> bool:
--- a/stagevale/runtime/context.py
+++ b/stagevale/runtime/context.py
@@ -12,6 +12,7 @@
 from stagevale.settings.settings import Settings
 
 if TYPE_CHECKING:
+    from stagevale.metrics.metrics import Metrics
     from stagevale.runtime.stall_monitor import StallMonitor
 
 SocketAddress = tuple[str, int]
@@ -53,6 +54,7 @@
         log: where to log.
         stopping: True once a graceful shutdown has begun.
         stall_monitor: what `stalled` asks; None where nobody watches.
+        metrics: what the daemon counts of itself.
     """
 
     settings: Settings
@@ -60,6 +62,7 @@
     log: Log
     stopping: bool
     stall_monitor: "StallMonitor | None"
+    metrics: "Metrics"
 
     def stalled(self) -> bool:
         """True where this process has just stood still: what it reads now may be old."""
--- a/stagevale/runtime/disk_thread.py
+++ b/stagevale/runtime/disk_thread.py
@@ -25,6 +25,10 @@
             threading.Thread(target=self._run_all, daemon=True, name="disk").start()
         self.work.put((work, on_done))
 
+    def queue_length(self) -> int:
+        """How much work waits for the thread."""
+        return self.work.qsize() if self.work is not None else 0
+
     def _run_all(self) -> None:
         assert self.work is not None
         while True:
--- a/stagevale/settings/settings.py
+++ b/stagevale/settings/settings.py
@@ -124,6 +124,7 @@
         tolerance: which losses have to be borne at once.
         policy_path: a balancing policy; empty for none.
         steering: whether requests are routed by learned latency.
+        metrics_ports: where each program shows its metrics, by its name.
         stamp: of the file that they were read from, taken before it was read; None without a file.
         platform, duties, duty_per_s: where the platform is, its singleton roles, and how often it
             may be called.
@@ -152,6 +153,7 @@
         "platform",
         "duties",
         "duty_per_s",
+        "metrics_ports",
         "stamp",
     )
 
@@ -177,6 +179,7 @@
     platform: SocketAddress | None
     duties: tuple[str, ...]
     duty_per_s: float
+    metrics_ports: dict[str, int]
     stamp: FileStamp | None
 
 
@@ -226,6 +229,7 @@
     settings.policy_path = _take(table, "policy", "path", str, "")
     settings.steering = _take(table, "steering", "on", bool, False)
     _read_platform(settings, table)
+    settings.metrics_ports = _read_metrics(table)
     return settings
 
 
@@ -283,6 +287,11 @@
         )
 
 
+def _read_metrics(table: Table) -> dict[str, int]:
+    """The ports of section `metrics`: a program's name and its port."""
+    return {program: _take(table, "metrics", program, int) for program in table.get("metrics", {})}
+
+
 def settings_path() -> str:
     """The path of the settings file that this process is to use."""
     return os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
--- a/tests/compatibility/test_interfaces.py
+++ b/tests/compatibility/test_interfaces.py
@@ -102,5 +102,8 @@
 
 def test_the_deploy_file_stands_as_recorded():
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    # Since that release each role says where it tells its own figures, and nothing else was added.
+    metrics = {name: role.pop("metrics") for name, role in deploy["roles"].items()}
+    assert metrics == {"proxy": "9464/metrics", "registry": "9465/metrics", "store": "9466/metrics"}
 
     assert deploy == EXPECTED["deploy"]
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -7,6 +7,8 @@
 
 import simpy
 
+from stagevale.metrics.metrics import Metrics
+
 
 class Log:
     """Collects what daemons log, with the simulated time."""
@@ -251,6 +253,7 @@
         self.log = Log(world, name)
         self.stopped = False
         self.stall_monitor = None
+        self.metrics = Metrics(self.now_ms)
 
     def stop(self):
         self.stopped = True
