--- a/tests/register_model.py
+++ b/tests/register_model.py
@@ -87,9 +87,10 @@
 class ModelFleet(Fleet):
     """A fleet of core machines whose stores keep their votes by the real storage."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, proxies=0):
         self.cycled = set()
-        super().__init__(seed)
+        super().__init__(seed, proxies)
+        self.world.published = []
 
     def start_store(self, number, first=False):
         self.world.disks.setdefault(f"10.0.0.{number + 1}", TableDisk())
@@ -272,7 +273,6 @@
         self.draw = random.Random(seed)
         self.fleet = ModelFleet(seed)
         self.world = self.fleet.world
-        self.world.published = []
         self.history, self.over, self.lost_share = [], False, 0.3
         self.orders = []
         self.deadline_ms = 1e12
