Configuration: reads that wait are answered by one confirmation

What callers saw: with many reads at once, as after a closing fault, when operators and all registries read, some were never answered and changes behind them took 4.5 s. Cause: the leader had each read confirmed by a majority by itself, one round trip after the other, first come first served; once more came than there are rounds in the second that a caller waits, each was answered, or rejected as expired, after its caller had gone on and asked again.

Change: all commands that change nothing, whatever they find, share the next confirmation, as proxies' lease requests did already; each was sent before it began.

--- a/stagevale/configuration/commands.py
+++ b/stagevale/configuration/commands.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from stagevale.configuration.value import ConfigurationValue
+from stagevale.consensus.commands import READ_VALUE
 
 OK = http.HTTPStatus.OK.value
 NOT_FOUND = http.HTTPStatus.NOT_FOUND.value
@@ -44,6 +45,16 @@
         CommandKind.MOVE_ROLLOUT,
     )
 )
+# Commands that change nothing, whatever they find.
+READ_KINDS: frozenset[str] = frozenset(
+    (
+        READ_VALUE,
+        CommandKind.READ,
+        CommandKind.SERIAL,
+        CommandKind.READ_OFFER,
+        CommandKind.READ_ROLLOUTS,
+    )
+)
 ZONE_SUBJECT, PARTNER_SUBJECT, ROLLOUT_SUBJECT = "zone", "partner", "rollout"
 SUBJECT_TYPES: dict[str, str] = {
     CommandKind.EVACUATE: ZONE_SUBJECT,
--- a/stagevale/configuration/node.py
+++ b/stagevale/configuration/node.py
@@ -5,6 +5,7 @@
 from stagevale.configuration.commands import (
     NOT_FOUND,
     OK,
+    READ_KINDS,
     SUPERSEDED,
     UNAVAILABLE,
     UNVERSIONED_COMMANDS,
@@ -18,7 +19,13 @@
 from stagevale.configuration.messages import CommittedValue
 from stagevale.configuration.outstanding_leases import OutstandingLeases
 from stagevale.configuration.value import ConfigurationValue, read_configuration_value
-from stagevale.consensus.commands import READ_VALUE, Command, CommandReply, succeeded
+from stagevale.consensus.commands import (
+    READ_VALUE,
+    Command,
+    CommandAnswer,
+    CommandReply,
+    succeeded,
+)
 from stagevale.consensus.node import ConsensusNode
 from stagevale.consensus.vote_storage import VoteStore
 from stagevale.membership.member import REGISTRY_PROGRAM, STORE_PORT_OFFSET, STORE_PROGRAM, Member
@@ -121,29 +128,48 @@
         """See `ConsensusNode.execute`."""
         if self.committed is None:
             raise RuntimeError("a command before the first committed value")
-        if command.kind == READ_VALUE:
-            self.answer_when_confirmed([command], succeeded(self.committed.encoded))
-        elif command.kind == CommandKind.SERIAL:
-            self._answer_serials(command)
-        elif command.kind == CommandKind.READ_ROLLOUTS:
-            self.answer_when_confirmed([command], succeeded(self.rollouts.status()))
+        if command.kind in READ_KINDS:
+            self._answer_reads(command, self.committed)
         else:
             self._decide(command, self.committed)
 
+    def _answer_reads(self, first: Command, value: ConfigurationValue) -> None:
+        """Answers all reads that wait by one confirmation. One by one, each would be answered after
+        its caller had gone on, once more of them come than there are confirmations in that time.
+        """
+        commands = [first, *self.commands.take_all(READ_KINDS)]
+        self.answer_when_confirmed(
+            [CommandAnswer(command, self._read(command, value)) for command in commands]
+        )
+
+    def _read(self, command: Command, value: ConfigurationValue) -> CommandReply:
+        if command.kind == READ_VALUE:
+            return succeeded(value.encoded)
+        if command.kind == CommandKind.SERIAL:
+            if command.payload:
+                self.rollouts.record_outcomes(command.payload)
+            return succeeded(str(value.serial))
+        if command.kind == CommandKind.READ_ROLLOUTS:
+            return succeeded(self.rollouts.status())
+        outcome = self._outcome(command, value)
+        return CommandReply(outcome.status, outcome.text)
+
+    def _outcome(self, command: Command, value: ConfigurationValue) -> Outcome:
+        handler = self.find_handler(command.kind)
+        if handler is None:
+            return Outcome(NOT_FOUND, f"unknown order {command.kind}")
+        return handler(value, command.payload, self.context.settings.zones)
+
     def _decide(self, command: Command, value: ConfigurationValue) -> None:
         """Carries out a command that may change the value; where it doesn't, the answer is
         confirmed like a read.
         """
-        handler = self.find_handler(command.kind)
-        if handler is None:
-            outcome = Outcome(NOT_FOUND, f"unknown order {command.kind}")
-        else:
-            outcome = handler(value, command.payload, self.context.settings.zones)
+        outcome = self._outcome(command, value)
         if outcome.value is None:
             waits = command.kind in LEASED_COMMANDS and outcome.status == OK
             left_ms = self.leases.left_ms() if waits else None
             answer = CommandReply(outcome.status, outcome.text, left_ms)
-            self.answer_when_confirmed([command], answer)
+            self.answer_when_confirmed([CommandAnswer(command, answer)])
             return
         subject, serial = subject_of(command.kind, command.payload), outcome.value.serial
         if subject is not None and self._is_superseded(command, subject):
@@ -190,17 +216,6 @@
         left_ms = self.leases.left_ms() if waits else None
         return CommandReply(outcome.status, outcome.text, left_ms)
 
-    def _answer_serials(self, first: Command) -> None:
-        """Proxies' lease requests come from every registry all the time: all that wait are answered
-        by one confirmation, since each was sent before it began.
-        """
-        commands = [first, *self.commands.take_all(CommandKind.SERIAL)]
-        for command in commands:
-            if command.payload:
-                self.rollouts.record_outcomes(command.payload)
-        serial = self.committed.serial if self.committed is not None else 0
-        self.answer_when_confirmed(commands, succeeded(str(serial)))
-
     # publishing
 
     def publish(self, value: ConfigurationValue) -> None:
--- a/stagevale/consensus/command_queue.py
+++ b/stagevale/consensus/command_queue.py
@@ -1,7 +1,7 @@
 """Commands on their way to the leader: forwarded, queued for a moment, answered once."""
 
 import http
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import TYPE_CHECKING, Any, Generic, TypeVar
 
 from stagevale.consensus.commands import (
@@ -230,10 +230,10 @@
             )
             command.reply(unavailable("not carried out in time"))
 
-    def take_all(self, kind: str) -> list[Command]:
-        """Removes and returns all pending commands of one kind."""
-        taken = [command for command in self.pending if command.kind == kind]
-        self.pending = [command for command in self.pending if command.kind != kind]
+    def take_all(self, kinds: Container[str]) -> list[Command]:
+        """Removes and returns all pending commands of some kinds."""
+        taken = [command for command in self.pending if command.kind in kinds]
+        self.pending = [command for command in self.pending if command.kind not in kinds]
         return taken
 
     def process(self) -> None:
--- a/stagevale/consensus/commands.py
+++ b/stagevale/consensus/commands.py
@@ -88,3 +88,10 @@
         self.reply = reply
         self.expires_ms = expires_ms
         self.basis_serial = basis_serial
+
+
+class CommandAnswer(NamedTuple):
+    """A command with the reply that it is to get."""
+
+    command: Command
+    reply: CommandReply
--- a/stagevale/consensus/node.py
+++ b/stagevale/consensus/node.py
@@ -3,12 +3,12 @@
 """
 
 import abc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import ClassVar, Generic, TypeVar
 
 from stagevale.consensus.acceptor import Acceptor
 from stagevale.consensus.command_queue import CommandQueue
-from stagevale.consensus.commands import Command, CommandReply, unavailable
+from stagevale.consensus.commands import Command, CommandAnswer, unavailable
 from stagevale.consensus.election import Election
 from stagevale.consensus.group_view import GroupView
 from stagevale.consensus.messages import (
@@ -302,15 +302,18 @@
         self.busy = True
         self.replication.propose(self.committed, value, on_done)
 
-    def answer_when_confirmed(self, commands: list[Command], answer: CommandReply) -> None:
-        """Answers from the committed value, once a majority confirms that it is the newest."""
+    def answer_when_confirmed(self, answers: Sequence[CommandAnswer]) -> None:
+        """Gives answers from the committed value, once a majority confirms that it is the newest.
+
+        One confirmation serves any number of commands that were sent before it began.
+        """
         ballot = self.ballot
         self.busy = True
 
         def confirmed(success: bool) -> None:
             if self.ballot == ballot:
                 self.busy = False
-            for command in commands:
+            for command, answer in answers:
                 command.reply(answer if success else unavailable("not confirmed"))
             self.commands.process()
 
