Configuration: an answer that changes nothing doesn't hold up the next command

What callers saw: 48 callers sent a copy of an order that had been taken, its answers lost; 40 of them had no acknowledgement in 8 s. Cause: as with reads, each refusal or repeated acknowledgement was confirmed by itself and all commands waited meanwhile.

Change: its confirmation runs beside the commands that follow; it names the value that was committed when it began, so what is proposed later changes nothing in it. Reads still wait for one another, which keeps their messages few.

--- a/stagevale/configuration/node.py
+++ b/stagevale/configuration/node.py
@@ -134,13 +134,21 @@
             self._decide(command, self.committed)
 
     def _answer_reads(self, first: Command, value: ConfigurationValue) -> None:
-        """Answers all reads that wait by one confirmation. One by one, each would be answered after
-        its caller had gone on, once more of them come than there are confirmations in that time.
+        """Answers all reads that wait by one confirmation; those that come meanwhile wait for the
+        next. One by one, each would be answered after its caller had gone on, once more of them
+        come than there are confirmations in that time.
         """
         commands = [first, *self.commands.take_all(READ_KINDS)]
-        self.answer_when_confirmed(
-            [CommandAnswer(command, self._read(command, value)) for command in commands]
-        )
+        answers = [CommandAnswer(command, self._read(command, value)) for command in commands]
+        ballot = self.ballot
+        self.busy = True
+
+        def answered() -> None:
+            if self.ballot == ballot:
+                self.busy = False
+            self.commands.process()
+
+        self.answer_when_confirmed(answers, answered)
 
     def _read(self, command: Command, value: ConfigurationValue) -> CommandReply:
         if command.kind == READ_VALUE:
@@ -162,7 +170,7 @@
 
     def _decide(self, command: Command, value: ConfigurationValue) -> None:
         """Carries out a command that may change the value; where it doesn't, the answer is
-        confirmed like a read.
+        confirmed like a read, and the next command needn't wait for that.
         """
         outcome = self._outcome(command, value)
         if outcome.value is None:
@@ -170,6 +178,7 @@
             left_ms = self.leases.left_ms() if waits else None
             answer = CommandReply(outcome.status, outcome.text, left_ms)
             self.answer_when_confirmed([CommandAnswer(command, answer)])
+            self.context.call_soon(self.commands.process)
             return
         subject, serial = subject_of(command.kind, command.payload), outcome.value.serial
         if subject is not None and self._is_superseded(command, subject):
--- a/stagevale/consensus/node.py
+++ b/stagevale/consensus/node.py
@@ -302,20 +302,22 @@
         self.busy = True
         self.replication.propose(self.committed, value, on_done)
 
-    def answer_when_confirmed(self, answers: Sequence[CommandAnswer]) -> None:
+    def answer_when_confirmed(
+        self,
+        answers: Sequence[CommandAnswer],
+        on_answered: Callable[[], object] = lambda: None,
+    ) -> None:
         """Gives answers from the committed value, once a majority confirms that it is the newest.
 
-        One confirmation serves any number of commands that were sent before it began.
+        Args:
+            answers: one confirmation serves any number of commands that were sent before it began.
+            on_answered: called once after that.
         """
-        ballot = self.ballot
-        self.busy = True
 
         def confirmed(success: bool) -> None:
-            if self.ballot == ballot:
-                self.busy = False
             for command, answer in answers:
                 command.reply(answer if success else unavailable("not confirmed"))
-            self.commands.process()
+            on_answered()
 
         self.confirm_leadership(confirmed)
 
--- a/tests/recovery_model.py
+++ b/tests/recovery_model.py
@@ -41,17 +41,17 @@
     wrong: list[str]
 
 
-class Reader:
-    """An operator that reads at one registry, again and again, as the pages say.
+class Caller:
+    """Sends the same order to one registry, again and again, as the pages say of operators.
 
     Attributes:
-        first_ms: when the first answer came; None before.
-        versions: what was read.
+        first_ms: when the first good answer came in time; None before.
     """
 
-    def __init__(self, run, number):
+    def __init__(self, run, number, kind, payload=""):
         self.run, self.number = run, number
-        self.first_ms, self.versions = None, set()
+        self.kind, self.payload = kind, payload
+        self.first_ms = None
         self.ask()
 
     def ask(self):
@@ -59,12 +59,13 @@
         tried = []
 
         def answered(status, text):
+            if tried:
+                return
+            tried.append(status)
             if status == 200:
                 self.first_ms = world.env.now if self.first_ms is None else self.first_ms
-                self.versions.add(int(json.loads(text)["version"][1:]))
-            if not tried:
-                tried.append(status)
-                world.later(READ_EVERY_MS, self.ask)
+                self.take(text)
+            world.later(READ_EVERY_MS, self.ask)
 
         def silent():
             if not tried:
@@ -73,7 +74,25 @@
 
         world.later(PATIENCE_MS, silent)
         client = self.run.fleet.registries[self.number].service.configuration
-        client.send_command("read", "", answered)
+        client.send_command(self.kind, self.payload, answered)
+
+    def take(self, text):
+        """A good answer has come."""
+
+
+class Reader(Caller):
+    """An operator that reads the configuration.
+
+    Attributes:
+        versions: what was read.
+    """
+
+    def __init__(self, run, number):
+        self.versions = set()
+        super().__init__(run, number, "read")
+
+    def take(self, text):
+        self.versions.add(int(json.loads(text)["version"][1:]))
 
 
 class ClosingRun:
@@ -82,6 +101,7 @@
     Attributes:
         acknowledged: the version that an operator was told is in force.
         sent: the version that was sent last; it may be in force.
+        payload: what was sent with it.
     """
 
     def __init__(self, seed, how, prelude):
@@ -115,7 +135,7 @@
         """Sends a change; waits for its acknowledgement unless told otherwise."""
         version = self.sent + 1
         payload = payload_of(version, self.acknowledged, f"v{version}.example")
-        self.sent = version
+        self.sent, self.payload = version, payload
         if not wait:
             registry = self.fleet.registries[self.draw.randrange(CORE)]
             registry.service.configuration.send_command("replace", payload, self.answered)
