--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,15 +2,20 @@
 
 import pytest
 from support.endpoints import Scene
+from support.fleet import number_of
+from test_control import address as core_address
 from test_registrations import beat_of, formed, heartbeat, known, tell
 
 from stagevale.discovery.instance import InstanceState
 from stagevale.placement.shards import shard_of
 
+CONTACT_MS = 4000
+TWO_DISKS = "\n[tolerance]\nmachines = 2\n"
 
-def with_endpoint(seed):
+
+def with_endpoint(seed, more=""):
     """A fleet that knows an endpoint as ready, with hints of it on every disk."""
-    fleet = formed(seed)
+    fleet = formed(seed, more=more)
     assert heartbeat(fleet, 0, "i-1", beat_of("i-1")) == 200
     assert fleet.world.until(lambda: all(known(fleet, "i-1")), 2500)
     assert heartbeat(fleet, 0, "i-1", beat_of("i-1", seq=2)) == 200
@@ -59,6 +64,31 @@
             assert target is None or target.state == InstanceState.DRAINING
 
 
+# A leave was acknowledged by fewer replicas than disks may be lost at once.
+@pytest.mark.parametrize("first", range(3))
+@pytest.mark.parametrize("how", ["leave", "draining"])
+def test_what_was_acknowledged_outlives_as_many_disks_as_may_be_lost(how, first):
+    """The closing event of a day: no more disks have the departure than its acknowledgement asks
+    for, two of the shard's replicas first; these two are lost, and all other machines lose power.
+    Machines are in touch again `contactMs` after their start.
+    """
+    fleet = with_endpoint(75 + first, TWO_DISKS)
+    replicas = fleet.registries[0].service.replicas_of(shard_of("s"))
+    numbers = [number_of(replica) for replica in replicas]
+    lost = [numbers[first], numbers[(first + 1) % len(numbers)]]
+    hanging = [number for number in range(6) if number not in lost]
+    fleet.world.stalled |= {core_address(number) for number in hanging}
+    while depart(fleet, lost[0], how) != 200:
+        fleet.world.stalled.discard(core_address(hanging.pop()))
+    fleet.world.stalled.clear()
+    fleet.lose_power(wiped=lost)
+    fleet.world.run(CONTACT_MS)
+    for _ in range(400):
+        for target in known(fleet, "i-1"):
+            assert target is None or target.state != InstanceState.READY
+        fleet.world.run(20)
+
+
 def test_nothing_is_acknowledged_that_is_not_on_a_majority_of_disks():
     fleet = with_endpoint(72)
     replicas = fleet.registries[0].service.replicas_of(shard_of("s"))
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -27,8 +27,8 @@
     }
 
 
-def formed(seed=11, proxies=6):
-    fleet = Fleet(seed, proxies)
+def formed(seed=11, proxies=6, more=""):
+    fleet = Fleet(seed, proxies, more)
     assert fleet.world.until(
         lambda: len(fleet.leaders()) == 1 and fleet.formed(12 + proxies), 25000
     )
