Departures: as many disks have them before the acknowledgement as outlive a closing fault

What callers saw: after two disks were lost and all other machines lost power, an endpoint whose leave had been acknowledged was ready again, and proxies sent to it for 11 s. Cause: two of a shard's three replicas acknowledged, and tolerance lets two disks be lost at once; hints on the other disks name the endpoint as ready. A registry whose disk was lost knew nothing of it at all, and proxies that went over to it kept what they had been told.

Change: a departure is acknowledged by majorities of the replicas and of twice the tolerated disks and one, the replicas first. A registry that has just started tells all others which instances it knows to have left.

--- a/stagevale/discovery/heartbeats.py
+++ b/stagevale/discovery/heartbeats.py
@@ -1,9 +1,10 @@
 """Heartbeats and leave calls of endpoints, and how they spread among the registries."""
 
 import struct
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import TYPE_CHECKING, Any
 
+from stagevale.discovery.departures import has_departed
 from stagevale.discovery.instance import Instance, InstanceState, instance_key
 from stagevale.discovery.instance_table import rows_of
 from stagevale.discovery.messages import RECEIVED, InstancesMessage
@@ -13,6 +14,7 @@
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.transport import Reply
+from stagevale.settings.settings import replicas_to_outlive, tolerated_disks
 
 if TYPE_CHECKING:
     from stagevale.discovery.registry_service import RegistryService
@@ -82,7 +84,7 @@
             if known.state == ready or incoming.state == ready:
                 answer(200, self._heartbeat_answer(incoming))
                 return
-            # A drain or a leave is acknowledged once a majority of the replicas has it.
+            # A drain or a leave is acknowledged once majorities have it.
             changed = known
         if changed.state == InstanceState.READY:
             self.spread([changed])
@@ -109,8 +111,9 @@
 
         Args:
             changed: the instances.
-            answer: called once with an HTTP status and body when a majority of the replicas has
-                the instance on disk, or can't be reached; then there is just one.
+            answer: called once with an HTTP status and body when a majority of the replicas, and
+                of the witnesses, has the instance on disk, or can't be reached; then there is just
+                one.
         """
         changed = list(changed)
         self.service.feeds.publish(changed)
@@ -120,27 +123,56 @@
     def _replicate(self, shard: str, instances: list[Instance], answer: Answer | None) -> None:
         own_address = self.rpc.address
         replicas = self.service.replicas_of(shard)
-        others = [address for address in replicas if address != own_address]
         message = InstancesMessage(codec.encode_rows(rows_of(instances, self.context.now_ms())), 0)
         if own_address in replicas:
             self._pass_on(shard, instances)
         if answer is None:
             self._save_departures(instances, _do_nothing)
-            for address in others:
-                self.rpc.send(address, MessageKind.INSTANCES, message)
+            for address in replicas:
+                if address != own_address:
+                    self.rpc.send(address, MessageKind.INSTANCES, message)
             return
+        witnesses = self._witnesses(replicas)
         call: QuorumCall[int] = QuorumCall(
-            replicas,
+            witnesses,
             lambda _replica, _reply: True,
             lambda: answer(200, {}),
             lambda: answer(503, {"error": "the part's group can't be reached"}),
+            () if len(witnesses) == len(replicas) else (replicas, witnesses),
         )
-        counts_here = own_address in replicas
+        counts_here = own_address in witnesses
         self._save_departures(
             instances, lambda: call.replied(own_address, RECEIVED) if counts_here else None
         )
-        for address in others:
-            self._replicate_to(address, message, call)
+        for address in witnesses:
+            if address != own_address:
+                self._replicate_to(address, message, call)
+
+    def announce_departures(self) -> None:
+        """Tells all registries which instances drain or have left, by what is known here: one whose
+        disk was lost knows nothing of them, and proxies that go over to it would keep them.
+        """
+        departed = list(filter(has_departed, self.service.instances.by_id.values()))
+        if not departed:
+            return
+        rows = rows_of(departed, self.context.now_ms())
+        message = InstancesMessage(codec.encode_rows(rows), 1)
+        for member in self.service.registries():
+            if member.address != self.rpc.address:
+                self.rpc.send(member.address, MessageKind.INSTANCES, message)
+
+    def _witnesses(self, replicas: Sequence[str]) -> tuple[str, ...]:
+        """The registries that write a departure before it is acknowledged: a shard's replicas and,
+        where a majority of these may lose its disks at once, this registry and further ones.
+        """
+        size = replicas_to_outlive(tolerated_disks(self.context.settings.tolerance))
+        others = [
+            member.address
+            for member in self.service.registries()
+            if self.membership.is_reachable(member.address)
+        ]
+        candidates = dict.fromkeys((*replicas, self.rpc.address, *others))
+        return tuple(candidates)[: max(size, len(replicas))]
 
     def _save_departures(
         self, instances: Iterable[Instance], on_saved: Callable[[], object]
--- a/stagevale/discovery/registry_service.py
+++ b/stagevale/discovery/registry_service.py
@@ -236,6 +236,8 @@
         self.anti_entropy.ping(self._ping_targets(whole_round))
         if whole_round:
             self.heartbeats.report_heartbeats()
+            if self.is_starting():
+                self.heartbeats.announce_departures()
             self.shard_ownership.campaign()
             self._start_handoffs()
             if self.hints is not None:
--- a/stagevale/rollouts/judge.py
+++ b/stagevale/rollouts/judge.py
@@ -8,11 +8,10 @@
 from stagevale.rollouts.outcomes import OutcomeCounts, OutcomeRow
 from stagevale.rollouts.rollout import Rollout, RolloutState, Side
 from stagevale.runtime.clock import LONG_AGO_MS, MS_PER_S
-from stagevale.settings.settings import Bounds
+from stagevale.settings.settings import Bounds, tolerated_disks
 
 # A proxy that has reported nothing for this share of `contactMs` is not known to be well.
 SILENCE_SHARE = 0.75
-DEFAULT_TOLERANCE = 1
 
 
 class ZoneCounts(NamedTuple):
@@ -46,7 +45,7 @@
 
     def __init__(self, bounds: Bounds, tolerance: Mapping[str, Any]) -> None:
         self.bounds = bounds
-        self.tolerated = int(tolerance.get("machines", DEFAULT_TOLERANCE))
+        self.tolerated = tolerated_disks(tolerance)
         self._rows: dict[str, list[OutcomeRow]] = {}
         self._report_ms: dict[str, float] = {}
         self._step_since_ms: dict[StepKey, float] = {}
--- a/stagevale/settings/settings.py
+++ b/stagevale/settings/settings.py
@@ -3,6 +3,7 @@
 import os
 import re
 import tomllib
+from collections.abc import Mapping
 from typing import Any
 
 from stagevale.settings.file_stamp import FileStamp, stamp_of
@@ -12,6 +13,7 @@
 MOST_PORT = 65535
 IPV4_DOTS = 3
 PORT_RANGE_ENDS = 2
+DEFAULT_TOLERANCE = 1
 
 BOUND_DEFAULTS = {
     "seedStalenessS": 3,
@@ -183,6 +185,18 @@
     stamp: FileStamp | None
 
 
+def tolerated_disks(tolerance: Mapping[str, Any]) -> int:
+    """How many machines that count may lose their disks at once, by the platform's tolerance."""
+    return int(tolerance.get("machines", DEFAULT_TOLERANCE))
+
+
+def replicas_to_outlive(disks: int) -> int:
+    """How many replicas state needs of which a majority acknowledges, to outlive the loss of so
+    many disks at once: one that has it is left then, and so is a majority.
+    """
+    return 2 * disks + 1
+
+
 def split_address(text: object, field: str) -> SocketAddress:
     """Takes `ip:port` apart.
 
