Session groups: as many members as outlive the disks that may be lost at once

What callers saw: after two disks were lost and all other machines lost power, keyed requests of the sessions whose group had two of its three members there were refused with 503 for good, and answers that clients had got were known to nobody. Cause: the size of a group was fixed at three, whose majority bears one lost disk; tolerance allows two.

Change: a group has twice the tolerated disks and one more members; smaller groups grow, by the same change that replaces a member, which learns from a majority of the former members and seals them.

Evidence: three cases of tests/test_affinity.py, where two disks may be lost, failed before (503) and pass now. Sites whose tolerance is one keep groups of three.

--- a/stagevale/sessions/groups.py
+++ b/stagevale/sessions/groups.py
@@ -41,9 +41,10 @@
     wanted: Iterable[str],
     registries: Sequence[Member],
     gone: Collection[str],
+    size: int = GROUP_SIZE,
 ) -> dict[str, SessionGroup] | None:
     """The session groups that follow, or None where nothing is to change: makes those that are
-    wanted, replaces members that are gone for good.
+    wanted, replaces members that are gone for good, adds members to groups that are too small.
 
     A group in the middle of a change is left alone until its members have learned the records.
 
@@ -52,29 +53,30 @@
         wanted: names of the groups that routes ask for.
         registries: those that live.
         gone: addresses of registries that leave, or were away for long.
+        size: how many members a group is to have.
     """
     after = dict(groups)
     for name in wanted:
         if name not in after:
-            members = choose_members(name, registries, ())
+            members = choose_members(name, registries, (), size)
             if members:
                 after[name] = SessionGroup(FIRST_VERSION, members, NEW_GROUP)
     for name, group in groups.items():
         lost = [address for address in group.members if address in gone]
-        if group.former_members or not lost:
+        if group.former_members or not (lost or len(group.members) < size):
             continue
-        kept = tuple(address for address in group.members if address != lost[0])
+        kept = tuple(address for address in group.members if address not in lost[:1])
         others = [each for each in registries if each.address not in group.members]
-        members = choose_members(name, others, kept)
+        members = choose_members(name, others, kept, size)
         if len(members) > len(kept):
             after[name] = SessionGroup(group.version + 1, members, group.members)
     return after if after != groups else None
 
 
 def choose_members(
-    name: str, registries: Sequence[Member], kept: tuple[str, ...]
+    name: str, registries: Sequence[Member], kept: tuple[str, ...], size: int = GROUP_SIZE
 ) -> tuple[str, ...]:
-    """Members for a group: those kept, then by hash, a region without one first."""
+    """So many members for a group: those kept, then by hash, a region without one first."""
     homes = homes_of(name)
     able = sorted(
         (registry for registry in registries if not homes or registry.region in homes),
@@ -86,7 +88,7 @@
         for registry in able:
             regions = {region_of.get(address) for address in members}
             if (
-                len(members) < GROUP_SIZE
+                len(members) < size
                 and registry.address not in members
                 and (not new_region_only or registry.region not in regions)
             ):
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -6,7 +6,7 @@
 
 import pytest
 from support.endpoints import Endpoint, client_at, good, request, status_of
-from support.fleet import Fleet
+from support.fleet import Fleet, number_of
 
 from stagevale.configuration.validation import check_configuration
 from stagevale.configuration.value import SessionGroup
@@ -56,8 +56,8 @@
 class Crossing:
     """A fleet whose clients pass from site to site with one session and repeat their keys."""
 
-    def __init__(self, seed=1, proxies=6, noting=True):
-        self.fleet = Fleet(seed, proxies)
+    def __init__(self, seed=1, proxies=6, noting=True, more=""):
+        self.fleet = Fleet(seed, proxies, more)
         self.world = self.fleet.world
         assert self.world.until(
             lambda: len(self.fleet.leaders()) == 1 and self.fleet.formed(12 + proxies), 25000
@@ -457,6 +457,26 @@
         assert [statuses[key] for key in under_way] == ["504"] * 6, statuses
 
 
+# Three registries kept a session, and two disks may be lost at once: its keys were refused for good.
+@pytest.mark.parametrize("first", range(3))
+def test_keys_are_answered_again_after_as_many_disks_are_lost_as_may_be(first):
+    """The closing event of a day, where two disks may be lost: two members of a session's group
+    lose theirs, all other machines their power. Machines are in touch twice `contactMs` after.
+    """
+    day = Crossing(seed=44 + first, more="\n[tolerance]\nmachines = 2\n")
+    answered = [f"answered{number}" for number in range(6)]
+    clients = [day.send(site, key, session=key) for site, key in enumerate(answered)]
+    assert [day.answer(client) for client in clients] == ["200"] * 6
+    forwarder = day.fleet.proxies[first].forwarder
+    (lease,) = forwarder.sessions.leases.held.values()
+    members = [number_of(address) for address in forwarder.snapshot.sessions[lease.group].members]
+    day.fleet.lose_power(wiped=members[:2])
+    day.world.run(8000)
+    clients = [day.send((site + 1) % 6, key, session=key) for site, key in enumerate(answered)]
+    assert [day.answer(client) for client in clients] == ["200"] * 6
+    assert [day.ran(key) for key in answered] == [1] * 6
+
+
 def test_without_noting_the_same_crossings_run_keys_twice():
     got = crossings(kill_proxy, 21, noting=False)
     assert got["doubles"] > 10, got
