--- a/tests/recovery_model.py
+++ b/tests/recovery_model.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from register_model import TOLERATED_WIPES, ModelFleet, payload_of
+from support.attempts import Attempt
 from support.endpoints import send_heartbeat
 
 CORE = 6
@@ -14,7 +15,6 @@
 CONTACT_MS = 4000.0
 # The pages: calm machines are in touch twice `contactMs` after a fault that took most of the core.
 ANSWER_BOUND_MS = 2 * CONTACT_MS
-PATIENCE_MS = 1000.0
 # For how long reads are sent on after the bound, so that a figure can be given for a late one.
 WATCHED_MS = 30000.0
 READ_EVERY_MS = 100.0
@@ -55,26 +55,16 @@
         self.ask()
 
     def ask(self):
-        world = self.run.world
-        tried = []
-
-        def answered(status, text):
-            if tried:
-                return
-            tried.append(status)
-            if status == 200:
-                self.first_ms = world.env.now if self.first_ms is None else self.first_ms
-                self.take(text)
-            world.later(READ_EVERY_MS, self.ask)
-
-        def silent():
-            if not tried:
-                tried.append(None)
-                self.ask()
-
-        world.later(PATIENCE_MS, silent)
+        attempt = Attempt(self.run.world, self.answered, self.ask)
         client = self.run.fleet.registries[self.number].service.configuration
-        client.send_command(self.kind, self.payload, answered)
+        client.send_command(self.kind, self.payload, attempt.answered)
+
+    def answered(self, status, text):
+        world = self.run.world
+        if status == 200:
+            self.first_ms = world.env.now if self.first_ms is None else self.first_ms
+            self.take(text)
+        world.later(READ_EVERY_MS, self.ask)
 
     def take(self, text):
         """A good answer has come."""
--- a/tests/register_model.py
+++ b/tests/register_model.py
@@ -4,6 +4,7 @@
 import random
 from typing import NamedTuple
 
+from support.attempts import Attempt
 from support.fleet import Fleet
 
 from stagevale.configuration.node import ConfigurationNode
@@ -14,7 +15,6 @@
 TOLERATED_WIPES = 2
 LOST_MS = 6000.0
 ZONE = "c2"
-CALLER_PATIENCE_MS = 1000.0
 QUIET_MS = 20000.0
 
 
@@ -164,28 +164,19 @@
         if run.over and run.world.env.now > run.deadline_ms:
             return
         registry = run.fleet.registries[run.draw.randrange(CORE)]
-        tried = []
 
         def answered(status, text):
-            if tried:
-                return
-            tried.append(status)
             if status in (200, 400, 404, 412) and run.draw.random() >= run.lost_share:
                 self.done(call, status, text)
             else:
                 run.world.later(run.draw.uniform(50, 300), self.send, call)
 
-        def silent():
-            if not tried:
-                tried.append(None)
-                self.send(call)
-
-        run.world.later(CALLER_PATIENCE_MS, silent)
+        attempt = Attempt(run.world, answered, lambda: self.send(call))
         if registry.context.alive and not run.world.thaw_ms(registry.context):
             payload = (
                 "" if call.kind == "read" else payload_of(call.version, call.parent, call.host)
             )
-            registry.service.configuration.send_command(call.kind, payload, answered)
+            registry.service.configuration.send_command(call.kind, payload, attempt.answered)
 
     def done(self, call, status, text):
         run = self.run
@@ -241,28 +232,19 @@
         if order.end_ms is not None or (run.over and run.world.env.now > run.deadline_ms):
             return
         registry = run.fleet.registries[run.draw.randrange(CORE)]
-        tried = []
 
         def answered(status, _text):
-            if tried:
-                return
-            tried.append(status)
             if status == 200 and run.draw.random() >= run.lost_share:
                 order.end_ms = run.world.env.now
                 run.world.later(run.draw.uniform(20, 600), self.next)
             else:
                 run.world.later(run.draw.uniform(50, 300), self.send, order)
 
-        def silent():
-            if not tried:
-                tried.append(None)
-                self.send(order)
-
-        self.lose_connection = silent
-        run.world.later(CALLER_PATIENCE_MS, silent)
+        attempt = Attempt(run.world, answered, lambda: self.send(order))
+        self.lose_connection = attempt.give_up
         client = registry.service.configuration
         # What a frozen registry's socket holds is read when it thaws, and rests on this value.
-        arguments = (order.kind, order.zone, answered, client.basis_serial)
+        arguments = (order.kind, order.zone, attempt.answered, client.basis_serial)
         registry.context.call_soon(client.send_command, *arguments)
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -5,13 +5,13 @@
     ANSWER_BOUND_MS,
     CLOSINGS,
     CORE,
-    PATIENCE_MS,
     PRELUDES,
     Caller,
     ClosingRun,
     Reader,
     faults,
 )
+from support.attempts import PATIENCE_MS
 
 # Callers that read at each registry at the same time.
 CALLERS = 8
