--- a/tests/test_register_model.py
+++ b/tests/test_register_model.py
@@ -88,7 +88,7 @@
     answers_before_the_disk: Bite(["power_in_stall", "kill"], 1, 4),
     keeps_the_identity: Bite(["closing_behind"], 1, 4),
     loads_snapshots_only: Bite(["power", "kill"], 1, 2),
-    forgets_the_callers_time: Bite(["freeze"], 45, 4, troubles=14),
+    forgets_the_callers_time: Bite(["freeze"], 33, 4, troubles=14),
     forgets_the_basis: Bite(["freeze", "hang_up"], 6, 4, troubles=14),
 }
 
