--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,5 +1,7 @@
 """What daemons show at their metrics ports."""
 
+import asyncio
+import socket
 import subprocess
 import sys
 
@@ -7,9 +9,13 @@
 from prometheus_client.parser import text_string_to_metric_families
 from support.callers import Caller
 from support.fleet import Fleet
+from support.network import Log
 
+from soak.network import find_network
+from stagevale.daemons.process import DaemonStart
 from stagevale.metrics.exposition import render
 from stagevale.metrics.metrics import MOST_LABEL_VALUES, OTHER_VALUES, REFUSALS, LabelledCounter
+from stagevale.runtime.asyncio_context import AsyncioContext
 
 METRICS_SETTINGS = "\n[metrics]\nproxy = 9464\nregistry = 9465\nstore = 9466\n"
 
@@ -113,3 +119,42 @@
         [sys.executable, "-c", program], capture_output=True, text=True, check=True
     )
     assert done.stdout.strip() == "False"
+
+
+class StubDaemon:
+    """A daemon that does nothing but show its metrics."""
+
+    def __init__(self, context, address):
+        self.context, self.metrics_address = context, address
+        self.is_started = self.shows_metrics = False
+
+    def bindings(self):
+        return []
+
+    def start(self):
+        self.is_started = True
+
+    def listen_for_metrics(self):
+        self.shows_metrics = True
+
+
+@pytest.mark.parametrize("is_taken", [False, True])
+def test_a_daemon_starts_whether_or_not_its_metrics_port_is_taken(is_taken):
+    """What shows figures must never keep a daemon from serving."""
+    network = find_network()
+    address = (network.edge_ip(0), network.ports.ready)
+    with socket.socket() as holder:
+        if is_taken:
+            holder.bind(address)
+        fleet = Fleet()
+        loop = asyncio.new_event_loop()
+        context = AsyncioContext(
+            fleet.settings(address[0], "a1", "", False), loop, Log(fleet.world, "daemon")
+        )
+        daemon = StubDaemon(context, address)
+        loop.run_until_complete(DaemonStart(context, daemon, "store").run())
+        loop.close()
+        for bound in context.bound_sockets.values():
+            bound.close()
+    assert daemon.is_started
+    assert daemon.shows_metrics is not is_taken
