--- a/stagevale/metrics/exposition.py
+++ b/stagevale/metrics/exposition.py
@@ -1,6 +1,6 @@
 """The text format of Prometheus, written by `prometheus_client`.
 
-Loaded with the first fetch only: the library takes a third of a daemon's memory again.
+Loaded with the first fetch only: the library takes a quarter of a daemon's memory again.
 """
 
 from collections.abc import Iterator
