--- a/tools/draw_days.py
+++ b/tools/draw_days.py
@@ -1,6 +1,6 @@
 """Draws days of trouble from every kind that the bench lists, for days of our own.
 
-    python3 tools/draw_days.py KINDS OUT [--days N] [--seed N] [--length S] [--only KIND,...]
+    python3 tools/draw_days.py KINDS OUT [--days N] [--seed N] [--length S] [--only KIND,...] [--closing HOW]
 
 KINDS is a file with what `fleetbench kinds SITE` prints: only kinds that it lists are drawn. Each day
 is a file `OUT/drawn-SEED.toml`, played with `fleetbench run SITE FILE`.
@@ -94,13 +94,21 @@
     "cloud_slow": {"x": (50.0,), "for_s": (5.0,)},
     "revoke": {"count": (1, 2), "gap_s": (1.0,)},
 }
+# How a closing fault that takes disks may strike; with `all`, every other machine loses power.
+WIPE_WAYS = ("aimed", "timed", "taken", "oldest", "all")
+WIPE_WAYS += ("aimed all", "timed all", "taken all", "oldest all", "timed oldest all")
+
+
+def wipe(how):
+    """A closing fault that takes disks."""
+    return {"kind": "wipe_after_ack", "down_s": 1.0, "how": how}
+
+
 CLOSINGS = (
     {"kind": "power_off_all", "down_s": 1.2},
     {"kind": "kill_all", "down_s": 0.6},
     {"kind": "wipe_after_ack", "down_s": 1.0},
-    {"kind": "wipe_after_ack", "down_s": 1.0, "how": "timed"},
-    {"kind": "wipe_after_ack", "down_s": 1.0, "how": "taken"},
-    {"kind": "wipe_after_ack", "down_s": 1.0, "how": "oldest"},
+    *[wipe(how) for how in WIPE_WAYS],
 )
 CONTROL = (
     "core_cut",
@@ -140,8 +148,10 @@
     return fields
 
 
-def draw_day(seed, kinds, length_s):
-    """The text of a day's file: troubles of the control side for the most part, and a closing."""
+def draw_day(seed, kinds, length_s, closing=None):
+    """The text of a day's file: troubles of the control side for the most part, and a closing
+    fault: the given one, else in most days one that is drawn.
+    """
     draw = random.Random(seed)
     control = [kind for kind in CONTROL if kind in kinds]
     others = [kind for kind in kinds if kind not in CONTROL]
@@ -154,8 +164,9 @@
     plan = [row for row in entries if row["kind"] in PLANNED]
     faults = [row for row in entries if row["kind"] not in PLANNED]
     lines = [f'name = "drawn-{seed}"', 'slot = "trouble"', f"seed = {seed}"]
-    if draw.random() < 0.6:
-        lines.append(f"closing = {toml_table(draw.choice(CLOSINGS))}")
+    drawn = draw.choice(CLOSINGS) if draw.random() < 0.6 else None
+    if closing or drawn:
+        lines.append(f"closing = {toml_table(closing or drawn)}")
     for name, rows in (("plan", plan), ("faults", faults)):
         lines.append(f"{name} = [")
         lines += [f"  {toml_table(row)}," for row in sorted(rows, key=lambda row: row["at"])]
@@ -176,6 +187,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--length", type=float, default=32.0, help="seconds of traffic")
     parser.add_argument("--only", default="", help="kinds to draw from, with commas between")
+    parser.add_argument("--closing", choices=WIPE_WAYS, help="how disks are lost at each day's end")
     options = parser.parse_args()
     with open(options.kinds, encoding="utf-8") as file:
         kinds = listed_kinds(file.read())
@@ -185,7 +197,8 @@
     for seed in range(options.seed, options.seed + options.days):
         path = os.path.join(options.out, f"drawn-{seed}.toml")
         with open(path, "w", encoding="utf-8") as file:
-            file.write(draw_day(seed, kinds, options.length))
+            closing = wipe(options.closing) if options.closing else None
+            file.write(draw_day(seed, kinds, options.length, closing))
         print(path)
 
 
