--- a/stagevale/api/registry_api.py
+++ b/stagevale/api/registry_api.py
@@ -26,7 +26,7 @@
 from stagevale.api.tally_view import TallyView
 from stagevale.configuration.commands import OK, UNVERSIONED_COMMANDS, CommandKind
 from stagevale.discovery.registry_service import RegistryService
-from stagevale.placement.fronts import MOST_FRONTS
+from stagevale.placement.fronts import MOST_FRONTS, SHORT_TTL_S
 from stagevale.runtime.turns import call_after_turns
 
 MOST_ID_CHARACTERS = 200
@@ -158,11 +158,12 @@
 
     def _resolve(self, call: Call, names: Names, answer: Answer) -> None:
         query = parse_qs(call.query)
-        zone, region = (query.get(field, [""])[0] for field in ("zone", "region"))
-        fronts = self.service.proxies.resolve(zone, region)
-        if not fronts:
+        zone, region, host = (query.get(field, [""])[0] for field in ("zone", "region", "name"))
+        choice = self.service.proxies.resolve(zone, region, host)
+        if not choice.fronts:
             raise CallError(http.HTTPStatus.SERVICE_UNAVAILABLE.value, "no front is ready")
-        answer(OK, {"addresses": fronts[:MOST_FRONTS], "ttlS": self.ttl_s})
+        ttl_s = min(self.ttl_s, SHORT_TTL_S) if choice.is_brief else self.ttl_s
+        answer(OK, {"addresses": choice.fronts[:MOST_FRONTS], "ttlS": ttl_s})
 
     # the configuration
 
--- a/stagevale/daemons/proxy.py
+++ b/stagevale/daemons/proxy.py
@@ -17,6 +17,7 @@
 from stagevale.forwarding.forwarder import Forwarder
 from stagevale.membership.member import PROXY_PROGRAM
 from stagevale.metrics.recovery import RecoveryStep, record_recovery
+from stagevale.placement.fronts import front_open_ms
 from stagevale.rpc import codec
 from stagevale.rpc.kinds import MessageKind
 from stagevale.runtime.clock import MS_PER_S
@@ -26,11 +27,7 @@
 
 USAGE_ROLE = "usage_report"
 INCARNATION_BITS = 32
-# Shares of the grace period: when new connections are refused, and when the process ends at the
-# latest.
-CLOSE_FRONT_SHARE = 0.4
-# The contract excuses a cut only for requests that were sent within 3 s of SIGTERM.
-LATEST_CLOSE_FRONT_MS = 2500.0
+# A share of the grace period: when the process ends at the latest.
 LONGEST_SHUTDOWN_SHARE = 0.85
 SHUTDOWN_CHECK_MS = 50.0
 LAST_REPORT_MS = 20.0
@@ -250,9 +247,9 @@
         self.feed.renew()
         self.membership.leave()
         self.membership.exit()
-        grace_ms = self.context.settings.bounds.grace_period_s * MS_PER_S
-        close_front_ms = min(grace_ms * CLOSE_FRONT_SHARE, LATEST_CLOSE_FRONT_MS)
-        longest_ms = grace_ms * LONGEST_SHUTDOWN_SHARE
+        bounds = self.context.settings.bounds
+        close_front_ms = front_open_ms(bounds)
+        longest_ms = bounds.grace_period_s * MS_PER_S * LONGEST_SHUTDOWN_SHARE
         end_ms = self.context.now_ms() + longest_ms
         self.context.call_later(close_front_ms, self._close_front, end_ms)
         self.context.call_later(longest_ms, self.finish)
--- a/stagevale/discovery/feeds.py
+++ b/stagevale/discovery/feeds.py
@@ -44,6 +44,8 @@
 
     Attributes:
         serial: of the configuration value that it has.
+        draining_since_ms: when it was ready for the last time; None for one that is ready, or
+            that never was.
         last_heard_ms: when it last renewed its subscription.
         waiting: it gets nothing until the value is confirmed.
         started: it has been sent everything once.
@@ -58,6 +60,7 @@
         "region",
         "ready",
         "serial",
+        "draining_since_ms",
         "last_heard_ms",
         "waiting",
         "started",
@@ -72,6 +75,7 @@
         self.region = message.region
         self.ready = message.ready
         self.serial = message.serial
+        self.draining_since_ms: float | None = None
         self.last_heard_ms = now_ms
         self.waiting = False
         self.started = False
@@ -81,6 +85,10 @@
     def renew(self, message: SubscribeMessage, now_ms: float) -> None:
         """The proxy renews its subscription."""
         self.last_heard_ms = now_ms
+        if message.ready:
+            self.draining_since_ms = None
+        elif self.ready:
+            self.draining_since_ms = now_ms
         self.ready = message.ready
         self.partner_table = None
         if message.partner_serial is not None and message.partner_mark is not None:
--- a/stagevale/discovery/proxy_directory.py
+++ b/stagevale/discovery/proxy_directory.py
@@ -5,8 +5,14 @@
 from typing import TYPE_CHECKING, Any
 
 from stagevale.discovery.feeds import BATCH_SHARE
+from stagevale.discovery.host_homes import HostHomes
 from stagevale.discovery.messages import ProxyRow
-from stagevale.placement.fronts import ReadyFront, fronts_for
+from stagevale.placement.fronts import (
+    FrontChoice,
+    ReadyFront,
+    choose_fronts,
+    named_while_draining_ms,
+)
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.message import read_message
@@ -21,6 +27,10 @@
     return zlib.crc32(repr([list(row) for row in rows]).encode())
 
 
+def _front_of(row: ProxyRow) -> ReadyFront:
+    return ReadyFront(row.front, row.zone, row.region)
+
+
 class ProxyDirectory:
     """The proxies that this registry feeds and those that others feed.
 
@@ -28,13 +38,24 @@
         fed_by: what other registries feed, by their addresses.
     """
 
-    __slots__ = ("service", "context", "rpc", "fed_by", "_unannounced")
+    __slots__ = (
+        "service",
+        "context",
+        "rpc",
+        "fed_by",
+        "_draining_since_ms",
+        "_homes",
+        "_unannounced",
+    )
 
     def __init__(self, service: "RegistryService") -> None:
         self.service = service
         self.context = service.context
         self.rpc = service.rpc
         self.fed_by: dict[str, list[ProxyRow]] = {}
+        # Of the proxies in `fed_by` that were ready and aren't any more, by their feeders.
+        self._draining_since_ms: dict[str, dict[str, float]] = {}
+        self._homes = HostHomes()
         self._unannounced: set[str] = set()
         self.rpc.handle(MessageKind.SUBSCRIBED_PROXIES, list, self._on_announcement)
         self.rpc.handle_raw(MessageKind.SUBSCRIBED_PROXIES_REQUEST, self._on_request)
@@ -48,18 +69,30 @@
         """The checksum of the proxies that this registry feeds."""
         return proxies_checksum(self.fed_here())
 
-    def resolve(self, zone: str, region: str) -> list[str]:
-        """The fronts for a client of a zone: ready ones, near ones first."""
+    def resolve(self, zone: str, region: str, host: str = "") -> FrontChoice:
+        """The fronts for a client of a zone that wants a host: ready ones, near ones first."""
         rows = self.fed_here()
         for registry, fed in self.fed_by.items():
             if self.service.is_live(registry):
                 rows += fed
-        ready = {
-            ReadyFront(row.front, row.zone, row.region)
-            for row in rows
-            if row.is_ready and row.front
+        settings = self.context.settings
+        ready = {_front_of(row) for row in rows if row.is_ready and row.front}
+        still_open = self._still_open()
+        draining = {_front_of(row) for row in rows if row.address in still_open and row.front}
+        homes = self._homes.of(host, self.service.configuration.value)
+        own_region = region or settings.zones.get(zone, "")
+        return choose_fronts(zone, own_region, ready, draining - ready, homes)
+
+    def _still_open(self) -> set[str]:
+        """The proxies that shut down and take connections for a while still."""
+        begun = {
+            address: ms for each in self._draining_since_ms.values() for address, ms in each.items()
         }
-        return fronts_for(zone, region or self.context.settings.zones.get(zone, ""), ready)
+        for address, subscriber in self.service.feeds.subscribers.items():
+            if subscriber.draining_since_ms is not None:
+                begun[address] = subscriber.draining_since_ms
+        oldest_ms = self.context.now_ms() - named_while_draining_ms(self.context.settings.bounds)
+        return {address for address, begun_ms in begun.items() if begun_ms > oldest_ms}
 
     # among registries
 
@@ -88,7 +121,19 @@
             rows.pop(address, None)
             if rest:
                 rows[address] = read_message(ProxyRow, [address, *rest])
-        self.fed_by[peer] = sorted(rows.values())
+        self._set_fed(peer, sorted(rows.values()))
+
+    def _set_fed(self, peer: str, rows: list[ProxyRow]) -> None:
+        """Takes in which proxies another registry feeds."""
+        were_ready = {row.address for row in self.fed_by.get(peer, ()) if row.is_ready}
+        begun = self._draining_since_ms.get(peer, {})
+        now_ms = self.context.now_ms()
+        self._draining_since_ms[peer] = {
+            row.address: begun.get(row.address, now_ms)
+            for row in rows
+            if not row.is_ready and (row.address in were_ready or row.address in begun)
+        }
+        self.fed_by[peer] = rows
 
     def _on_request(self, peer: str, body: Any, reply: Reply) -> None:
         reply(self.fed_here())
@@ -102,7 +147,7 @@
 
         def replied(rows: list[Any] | None, _error: RequestError | None) -> None:
             if rows is not None:
-                self.fed_by[peer] = [read_message(ProxyRow, row) for row in rows]
+                self._set_fed(peer, [read_message(ProxyRow, row) for row in rows])
 
         self.rpc.request(
             peer,
--- a/stagevale/failover_simulation/plan.py
+++ b/stagevale/failover_simulation/plan.py
@@ -6,7 +6,7 @@
 from stagevale.balancing.snapshot import Route, Service
 from stagevale.failover_simulation.errors import SimulationError
 from stagevale.forwarding.forwarder import RETRIES
-from stagevale.placement.fronts import ReadyFront, fronts_for
+from stagevale.placement.fronts import ReadyFront, choose_fronts
 from stagevale.runtime.clock import MS_PER_S
 from stagevale.settings.settings import Bounds
 
@@ -160,7 +160,7 @@
         _, zone, region = plan.fronts[proxy]
         if region != lost_region:
             continue
-        takers = fronts_for(zone, region, ready)
+        takers = choose_fronts(zone, region, ready).fronts
         for flow in flows:
             for address in takers:
                 part = flow._replace(per_s=flow.per_s / len(takers))
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -209,9 +209,13 @@
     fleet = formed()
     heartbeat(fleet, 0, "i-1", beat_of("i-1"))
     service = fleet.registries[3].service
-    assert fleet.world.until(lambda: service.proxies.resolve("a1", "a") == ["10.0.1.1:9000"], 5000)
+    assert fleet.world.until(
+        lambda: service.proxies.resolve("a1", "a").fronts == ["10.0.1.1:9000"], 5000
+    )
     fleet.world.kill(fleet.proxies[0].context)
-    assert fleet.world.until(lambda: service.proxies.resolve("a1", "a") == ["10.0.1.4:9000"], 1500)
+    assert fleet.world.until(
+        lambda: service.proxies.resolve("a1", "a").fronts == ["10.0.1.4:9000"], 1500
+    )
 
 
 def test_a_welcome_is_packed_once_for_a_burst_of_proxies_and_never_misses_news_between(monkeypatch):
--- a/tests/test_rehearsing.py
+++ b/tests/test_rehearsing.py
@@ -100,7 +100,9 @@
             for number, registry in self.fleet.registries.items()
             if registry.context.alive and ZONES[number][0] not in self.dead
         )
-        fronts = [tuple(front.split(":")) for front in service.proxies.resolve(zone, zone[0])]
+        fronts = [
+            tuple(front.split(":")) for front in service.proxies.resolve(zone, zone[0]).fronts
+        ]
         if fronts:
             ip, port = fronts[self.sent % len(fronts)]
             found = self.world.listeners.get((ip, int(port)))
