Proxies: a feeder that doesn't bring a value that others have is left; metrics tell who is behind

A registry's heartbeat now names the highest serial that it has heard of, not its own one; a proxy that hasn't got it after 0.2 of applyMs changes its feeder, at most once in 1.5 rounds.

--- a/stagevale/daemons/proxy.py
+++ b/stagevale/daemons/proxy.py
@@ -86,8 +86,17 @@
         metrics = context.metrics
         metrics.add_queue("requests without an endpoint", self.forwarder.queue.length)
         metrics.add_queue("requests under way", lambda: self.forwarder.running)
+        self._add_configuration_metrics()
         self.membership.add_listener(self._on_membership_changed)
 
+    def _add_configuration_metrics(self) -> None:
+        lag, context = self.feed.lag, self.context
+        ages_s = {
+            "behind what it heard of": lambda: lag.behind_ms(context.now_ms()) / MS_PER_S,
+            "longest behind": lambda: lag.longest_ms / MS_PER_S,
+        }
+        context.metrics.add_configuration(lambda: self.forwarder.snapshot.serial, ages_s)
+
     def start(self) -> None:
         """See `Daemon.start`."""
         super().start()
@@ -170,6 +179,7 @@
         for zone in before.evacuated - snapshot.evacuated:
             self.targets.end_evacuation(zone, snapshot)
         self.forwarder.snapshot = snapshot
+        self.feed.lag.held(value.serial, self.context.now_ms())
         self.membership.value_serial = value.serial
         self.context.log.info(
             "proxy: version %d is in force, configuration r%d.", value.serial, value.version
--- a/stagevale/discovery/configuration_client.py
+++ b/stagevale/discovery/configuration_client.py
@@ -96,6 +96,9 @@
     Attributes:
         value: the newest value, or None.
         partners: the merged table of partner routes.
+        newest_heard: the highest serial that anybody has named; proxies are told of it, so that
+            they go elsewhere where this registry doesn't have the value.
+        taken_ms: when the value came.
         confirmed_ms: when the value was last known to be the newest.
         basis_serial: the serial of a value that had arrived here before anything that is read from
             now on was sent; a call that is read now may rest on it. See `RequestTerms`.
@@ -108,6 +111,8 @@
         "membership",
         "value",
         "partners",
+        "newest_heard",
+        "taken_ms",
         "confirmed_ms",
         "basis_serial",
         "_pulling",
@@ -120,6 +125,8 @@
         self.membership = service.membership
         self.value: ConfigurationValue | None = None
         self.partners = NO_PARTNERS
+        self.newest_heard = NO_VALUE_SERIAL
+        self.taken_ms = LONG_AGO_MS
         self.confirmed_ms = LONG_AGO_MS
         self.basis_serial = NO_VALUE_SERIAL
         self._pulling = False
@@ -155,9 +162,11 @@
 
     def _take(self, value: ConfigurationValue) -> None:
         """Takes a value, where it is newer, and publishes it."""
+        self._heard(value.serial)
         if value.serial <= self.serial:
             return
         self.value = value
+        self.taken_ms = self.context.now_ms()
         call_after_turns(self.context, TURNS_UNTIL_READ, self._advance_basis, value.serial)
         self.partners = table_of(value) if value.offers else NO_PARTNERS
         self.membership.value_serial = value.serial
@@ -165,6 +174,9 @@
             self.service.configure_sessions(value.sessions)
         self.service.feeds.publish_value()
 
+    def _heard(self, serial: int) -> None:
+        self.newest_heard = max(self.newest_heard, serial)
+
     def _advance_basis(self, serial: int) -> None:
         """Makes a value the basis of calls, once all that arrived before it has been read.
 
@@ -174,6 +186,7 @@
         self.basis_serial = max(self.basis_serial, serial)
 
     def _on_heartbeat(self, peer: str, message: LeaderHeartbeat, reply: Reply) -> None:
+        self._heard(message.serial)
         if self.context.stalled():
             return
         if self.value is not None and message.serial <= self.value.serial:
@@ -188,11 +201,13 @@
         self.service.feeds.start_waiting()
 
     def _on_newer_value(self, sender: str, serial: int) -> None:
+        self._heard(serial)
         if self.value is None or serial > self.value.serial:
             self.pull_value()
 
     def compare(self, peer: str, serial: int) -> None:
         """A registry tells the serial of its value: it is asked for a newer one."""
+        self._heard(serial)
         if serial > self.serial:
             self.rpc.request(
                 peer,
--- a/stagevale/discovery/messages.py
+++ b/stagevale/discovery/messages.py
@@ -114,7 +114,7 @@
     """What a feeding registry tells its proxies each round.
 
     Attributes:
-        serial: of its configuration value.
+        serial: the highest one of a configuration value that it has heard of; it may not have it.
         in_contact: 1 while it reaches a majority of the core.
         agreed_ms: the core's agreed time, where it is in use.
     """
--- a/stagevale/discovery/registry_service.py
+++ b/stagevale/discovery/registry_service.py
@@ -23,7 +23,7 @@
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.transport import Reply, RpcTransport
-from stagevale.runtime.clock import LONG_AGO_MS
+from stagevale.runtime.clock import LONG_AGO_MS, MS_PER_S
 from stagevale.runtime.context import Context
 from stagevale.storage.generations import GenerationFile
 from stagevale.storage.row_log_writer import Log
@@ -148,10 +148,19 @@
         self.anti_entropy = AntiEntropy(self)
         self.configuration = ConfigurationClient(self)
         self.lease_relay = LeaseRelay(self)
+        self._add_metrics()
         rpc.handle(MessageKind.SHARD_HANDOFF, ShardHandoff, self._on_handoff)
         rpc.handle(MessageKind.USAGE_REPORT, list, self._on_usage_report)
         membership.add_listener(self._on_membership_changed)
 
+    def _add_metrics(self) -> None:
+        configuration, now_ms = self.configuration, self.context.now_ms
+        ages_s = {
+            "since it came": lambda: (now_ms() - configuration.taken_ms) / MS_PER_S,
+            "since it was confirmed": lambda: (now_ms() - configuration.confirmed_ms) / MS_PER_S,
+        }
+        self.context.metrics.add_configuration(lambda: configuration.serial, ages_s)
+
     def start(self) -> None:
         """Begins the rounds and looks for the configuration value."""
         self.context.call_later(self.interval_ms * FIRST_TICK_SHARE, self._tick)
@@ -267,7 +276,7 @@
         in_contact = self.reaches_majority() or self.is_starting()
         agreed_ms = self.agreed_clock.now_ms() if self.agreed_clock is not None else None
         return FeedHeartbeat(
-            self.configuration.serial,
+            self.configuration.newest_heard,
             1 if in_contact else 0,
             int(agreed_ms) if agreed_ms is not None else None,
         )
--- a/stagevale/edge/feed_client.py
+++ b/stagevale/edge/feed_client.py
@@ -11,6 +11,7 @@
     PullValue,
     SubscribeMessage,
 )
+from stagevale.edge.value_lag import ValueLag
 from stagevale.membership.member import REGISTRY_PROGRAM
 from stagevale.placement.rule import feed_key
 from stagevale.rpc.kinds import MessageKind
@@ -29,6 +30,10 @@
 SILENT_ROUNDS = 1.6
 AVOID_ROUNDS = 4
 REPORT_ROUNDS = 3.5
+# A feeder that hasn't brought a value for this share of `applyMs`, although it was asked for it, is
+# changed for another one, at most once in so many rounds.
+BEHIND_SHARE = 0.2
+BEHIND_ROUNDS = 1.5
 
 
 class FeedClient:
@@ -39,6 +44,7 @@
         subscribed: it has answered.
         interval_ms: the length of a round.
         avoid_until_ms: until when former feeders are avoided, by address.
+        lag: the values that this proxy has heard of and doesn't have.
     """
 
     __slots__ = (
@@ -51,7 +57,9 @@
         "interval_ms",
         "on_feed",
         "_feeder_heard_ms",
+        "_feeder_since_ms",
         "avoid_until_ms",
+        "lag",
         "_last_report_ms",
     )
 
@@ -71,6 +79,8 @@
         self.subscribed = False
         self.interval_ms = proxy.context.settings.bounds.contact_ms / ROUNDS_PER_CONTACT
         self._feeder_heard_ms = 0.0
+        self._feeder_since_ms = 0.0
+        self.lag = ValueLag()
         self.avoid_until_ms: dict[str, float] = {}
         self._last_report_ms = 0.0
         self.membership.on_newer_value = self._on_newer_value
@@ -141,7 +151,7 @@
 
     def _change_feeder(self, feeder: str, serial: int) -> None:
         self.feeder = feeder
-        self._feeder_heard_ms = self.context.now_ms()
+        self._feeder_heard_ms = self._feeder_since_ms = self.context.now_ms()
         self.subscribe(min(serial, NO_SERIAL))
         self.proxy.report_usage(True)
 
@@ -238,8 +248,26 @@
     def pull_if_newer(self, serial: int) -> None:
         """Asks the feeder for the configuration value, where there is a newer one."""
         own_serial = self.proxy.forwarder.snapshot.serial
-        if self.feeder is not None and serial > own_serial:
+        if serial <= own_serial:
+            return
+        self.lag.heard(serial, self.context.now_ms())
+        if self.feeder is not None:
             self.rpc.send(self.feeder, MessageKind.PULL_VALUE, PullValue(own_serial))
+            self.context.call_later(self._longest_behind_ms(), self._check_lag)
+
+    def _longest_behind_ms(self) -> float:
+        return self.context.settings.bounds.apply_ms * BEHIND_SHARE
+
+    def _check_lag(self) -> None:
+        """Changes the feeder where it doesn't bring what others have."""
+        now_ms = self.context.now_ms()
+        behind_ms = self.lag.behind_ms(now_ms)
+        if self.feeder is None or self.proxy.stopping or behind_ms < self._longest_behind_ms():
+            return
+        if now_ms - self._feeder_since_ms < self.interval_ms * BEHIND_ROUNDS:
+            return
+        self.drop_feeder(f"version {self.lag.newest_heard} has not come for {behind_ms:.0f} ms")
+        self._find_feeder()
 
     def _on_feed(self, peer: str, message: FeedMessage, reply: Reply) -> None:
         if peer == self.feeder:
--- a/stagevale/metrics/metrics.py
+++ b/stagevale/metrics/metrics.py
@@ -2,7 +2,7 @@
 fetches pays next to nothing for them.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from stagevale.runtime.clock import MS_PER_S
@@ -75,6 +75,8 @@
 REFUSALS = CounterOpts("refusals", "Calls and requests that this daemon refused itself.", "reason")
 UNKNOWN_CALLS = CounterOpts("unknown_calls", "Calls of paths that aren't served.", "path")
 QUEUE_HELP = "How many wait."
+SERIAL_HELP = "The serial of the configuration value that this daemon has."
+AGES_HELP = "Seconds since something befell this daemon's configuration value."
 RECOVERY_HELP = "Seconds from the start of the process to a step of its recovery; absent before."
 
 
@@ -122,6 +124,19 @@
         """Adds a queue whose length is shown."""
         self.gauges.append(Gauge("queue_length", QUEUE_HELP, "queue", queue, length))
 
+    def add_configuration(
+        self, serial: Callable[[], float], ages_s: Mapping[str, Callable[[], float]]
+    ) -> None:
+        """Adds which configuration value this daemon has, and how old or late it is.
+
+        Args:
+            serial: of the value.
+            ages_s: figures in seconds, by what they tell.
+        """
+        self.gauges.append(Gauge("configuration_serial", SERIAL_HELP, "value", "held", serial))
+        for what, read in ages_s.items():
+            self.gauges.append(Gauge("configuration_seconds", AGES_HELP, "age", what, read))
+
     def reached(self, step: str) -> float | None:
         """A step of recovery was reached.
 
