--- a/stagevale/storage/merging_log.py
+++ b/stagevale/storage/merging_log.py
@@ -1,5 +1,7 @@
 """A log of rows that are never taken back, on disk in tables that are merged as they grow old."""
 
+import contextlib
+
 from stagevale.rpc import codec
 from stagevale.storage.folder import Folder
 from stagevale.storage.row_log import Rows
@@ -31,7 +33,7 @@
         rows: Rows = []
         for level in reversed(range(LEVELS)):
             for number in self._numbers_of(level):
-                rows += self._read(level, number)
+                rows += self._read(level, number) or []
         return rows
 
     def wants_snapshot(self) -> bool:
@@ -45,16 +47,25 @@
             OSError: the disk failed.
         """
         self._write(0, rows)
+        # The batch is on disk: tables that can't be merged now are merged after another one.
+        with contextlib.suppress(OSError):
+            self._merge_full_levels()
+
+    def _merge_full_levels(self) -> None:
         for level in range(LEVELS - 1):
             if len(self._numbers_of(level)) < FAN_OUT:
                 break
             self._merge(level)
 
     def _merge(self, level: int) -> None:
-        """Puts one table of the next level in the place of all tables of this one."""
+        """Puts one table of the next level in the place of all tables of this one; one that can't
+        be read stays.
+        """
         numbers = self._numbers_of(level)
-        self._write(level + 1, [row for number in numbers for row in self._read(level, number)])
-        for number in numbers:
+        tables = {number: self._read(level, number) for number in numbers}
+        read = {number: rows for number, rows in tables.items() if rows is not None}
+        self._write(level + 1, [row for rows in read.values() for row in rows])
+        for number in read:
             remove_table(self.folder, _name(level, number))
         numbers.clear()
 
@@ -64,9 +75,9 @@
             self._last = [max(numbers, default=0) for numbers in self._numbers]
         return self._numbers[level]
 
-    def _read(self, level: int, number: int) -> Rows:
+    def _read(self, level: int, number: int) -> Rows | None:
         data = read_table(self.folder, _name(level, number), ROWS_KEY)
-        return codec.decode_rows(data) if data is not None else []
+        return codec.decode_rows(data) if data is not None else None
 
     def _write(self, level: int, rows: Rows) -> None:
         numbers = self._numbers_of(level)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,12 +1,15 @@
 """What a store's disk holds after a loss of power at any point of a save."""
 
+import contextlib
 import os
 import shutil
 
 import pytest
 
+from stagevale.storage import merging_log
 from stagevale.storage.folder import Folder
 from stagevale.storage.generations import GenerationFile
+from stagevale.storage.merging_log import FAN_OUT, MergingLog
 
 FIRST, SECOND = b"first record " * 9, b"second record, longer than the first " * 11
 
@@ -95,3 +98,72 @@
     assert GenerationFile(Folder(str(tmp_path))).load() is None
     (tmp_path / "register-7.dir").write_bytes(b"\xff" * 50)
     assert GenerationFile(Folder(str(tmp_path))).load() is None
+
+
+def log_rows(first, count):
+    return [["add", f"id-{number}", number] for number in range(first, first + count)]
+
+
+def test_every_row_of_a_merging_log_is_loaded_and_few_tables_stay(tmp_path):
+    log, given = MergingLog(Folder(str(tmp_path))), []
+    for number in range(600):
+        batch = log_rows(3 * number, 3)
+        log.append(batch, False)
+        given += batch
+    loaded = MergingLog(Folder(str(tmp_path))).load()
+    assert sorted(loaded) == sorted(given)
+    assert len(os.listdir(tmp_path)) <= 2 * 3 * FAN_OUT
+
+
+def test_a_row_of_a_merging_log_is_written_a_few_times_however_many_there_are(
+    tmp_path, monkeypatch
+):
+    written = []
+    write_table = merging_log.write_table
+    monkeypatch.setattr(
+        merging_log, "write_table", lambda *args: (written.append(len(args[3])), write_table(*args))
+    )
+    log, shares = MergingLog(Folder(str(tmp_path))), []
+    for rounds in (256, 256):
+        written.clear()
+        for number in range(rounds):
+            log.append(log_rows(number, 1), False)
+        shares.append(sum(written))
+    assert shares[1] < 1.2 * shares[0]
+
+
+@pytest.mark.parametrize("left", range(8))
+def test_what_a_merging_log_has_taken_outlives_saves_that_fail(tmp_path, left):
+    """Also one that fails while older tables are merged."""
+    folder = Failing(str(tmp_path))
+    folder.left = 999
+    log, given = MergingLog(folder), []
+    for number in range(FAN_OUT - 1):
+        log.append(log_rows(number, 1), False)
+        given += log_rows(number, 1)
+    folder.left = left
+    with contextlib.suppress(OSError):
+        log.append(log_rows(100, 1), False)
+        given += log_rows(100, 1)
+    folder.left = 999
+    log.append(log_rows(200, 1), False)
+    given += log_rows(200, 1)
+    loaded = MergingLog(Folder(str(tmp_path))).load()
+    assert {tuple(row) for row in given} <= {tuple(row) for row in loaded}
+
+
+def test_tables_that_come_back_after_they_were_merged_change_nothing(tmp_path):
+    log = MergingLog(Folder(str(tmp_path)))
+    for number in range(FAN_OUT - 1):
+        log.append(log_rows(number, 1), False)
+    before = {name: (tmp_path / name).read_bytes() for name in os.listdir(tmp_path)}
+    log.append(log_rows(50, 1), False)
+    assert not set(before) & set(os.listdir(tmp_path))
+    for name, content in before.items():
+        (tmp_path / name).write_bytes(content)
+    again = MergingLog(Folder(str(tmp_path)))
+    for number in range(60, 60 + FAN_OUT):
+        again.append(log_rows(number, 1), False)
+    loaded = {tuple(row) for row in MergingLog(Folder(str(tmp_path))).load()}
+    wanted = [*range(FAN_OUT - 1), 50, *range(60, 60 + FAN_OUT)]
+    assert loaded == {("add", f"id-{number}", number) for number in wanted}
