--- a/stagevale/configuration/node.py
+++ b/stagevale/configuration/node.py
@@ -152,7 +152,7 @@
 
     def _read(self, command: Command, value: ConfigurationValue) -> CommandReply:
         if command.kind == READ_VALUE:
-            return succeeded(value.encoded)
+            return succeeded(value.published)
         if command.kind == CommandKind.SERIAL:
             if command.payload:
                 self.rollouts.record_outcomes(command.payload)
@@ -239,9 +239,9 @@
         for members in regions.values():
             members.sort(key=lambda member: member.machine != own_machine)
             first, *rest = [member.address for member in members]
-            message = CommittedValue(value.encoded, tuple(rest))
+            message = CommittedValue(value.published, tuple(rest))
             self.rpc.send(first, MessageKind.COMMITTED_VALUE, message)
         for address in self.acceptor.vote.peers:
             if address not in self.membership.state.members:
-                message = CommittedValue(value.encoded, ())
+                message = CommittedValue(value.published, ())
                 self.rpc.send(address, MessageKind.COMMITTED_VALUE, message)
--- a/stagevale/configuration/value.py
+++ b/stagevale/configuration/value.py
@@ -59,7 +59,16 @@
         rollouts: rollouts by service, each as JSON.
     """
 
-    __slots__ = ("version", "config", "evacuated", "answered", "offers", "sessions", "rollouts")
+    __slots__ = (
+        "version",
+        "config",
+        "evacuated",
+        "answered",
+        "offers",
+        "sessions",
+        "rollouts",
+        "_published",
+    )
 
     def __init__(
         self,
@@ -82,6 +91,18 @@
         self.offers = dict(offers or {})
         self.sessions = dict(sessions or {})
         self.rollouts = dict(rollouts or {})
+        self._published: bytes | None = None
+
+    @property
+    def published(self) -> bytes:
+        """The value as compressed bytes for daemons that don't vote: without the record of applied
+        changes, which nobody else reads and which doesn't compress.
+        """
+        if self._published is None:
+            fields = self.to_fields()
+            fields[HISTORY_FIELD] = ChangeHistory().to_fields()
+            self._published = codec.compress(codec.encode([VALUE_KIND, *fields]))
+        return self._published
 
     def to_fields(self) -> list[Any]:
         """See `ReplicatedValue.to_fields`."""
--- a/tests/test_value_lag.py
+++ b/tests/test_value_lag.py
@@ -52,3 +52,18 @@
     registry = samples_of(fleet.registries[0])
     assert registry["stagevale_configuration_serial", "held"] == proxy.forwarder.snapshot.serial
     assert registry["stagevale_configuration_seconds", "since it came"] > 0
+
+
+# What each registry and proxy got with a change grew with the changes made before.
+def test_what_registries_and_proxies_get_does_not_grow_with_the_changes_made():
+    fleet = formed(133)
+    sizes = []
+    for version in range(11, 41):
+        assert (
+            fleet.insist([0], "replace", config(version, version - 1 if version > 11 else 1))[0]
+            == 200
+        )
+        fleet.world.run(200)
+        sizes.append(len(fleet.registries[3].service.configuration.value.encoded))
+    assert fleet.proxies[0].forwarder.snapshot.serial == max(serials(fleet).values())
+    assert sizes[-1] - sizes[0] < 10
