Sessions: a request with a key costs its key, not its session

Callers got 503 for most keyed requests after a minute: each row on disk and each reply to a proxy that acquires a lease held all keys of the session, with their answers.

A key's record has a row of its own, in a log whose tables go once their keys have expired; leases travel without keys, and a key is reserved where replicas know no attempt that may have run, which a majority answers for. Since holders don't see all keys any more, a record of an attempt that didn't run no longer goes over another attempt that may have, and an answer goes over any other attempt. Attempts under one lease are numbered through.

--- a/stagevale/daemons/registry.py
+++ b/stagevale/daemons/registry.py
@@ -18,7 +18,7 @@
 from stagevale.singleton.value import SingletonValue, read_singleton_value
 from stagevale.storage.folder import Folder
 from stagevale.storage.generations import GenerationFile
-from stagevale.storage.merging_log import MergingLog
+from stagevale.storage.merging_log import Lifetime, MergingLog
 from stagevale.storage.row_log import RowLog
 from stagevale.storage.tables import NumberedTables
 
@@ -27,6 +27,7 @@
 TALLIES_FOLDER = "tallies"
 SINGLETON_FOLDER = "duties"
 SESSIONS_FOLDER = "sessions"
+KEYS_FOLDER = "session-keys"
 # How long clients may keep the directory's answers, as a share of the longest that counts.
 TTL_SHARE = 0.8
 # Shares of the grace period: a shutdown takes at least the one, so that shards are handed over, and
@@ -102,8 +103,13 @@
     def make_session_replicas(self) -> SessionReplicas:
         """This registry's part in the sessions; made with the first session group."""
         from stagevale.sessions.replica import SessionReplica
+        from stagevale.sessions.stored_rows import KEY_ROWS, longest_left_ms
 
-        return SessionReplica(self.context, self.rpc, RowLog(self._folder(SESSIONS_FOLDER)))
+        key_log = MergingLog(
+            self._folder(KEYS_FOLDER), KEY_ROWS, Lifetime(self.context.now_ms, longest_left_ms)
+        )
+        log = RowLog(self._folder(SESSIONS_FOLDER))
+        return SessionReplica(self.context, self.rpc, log, key_log)
 
     # shutdown
 
--- a/stagevale/sessions/idempotency.py
+++ b/stagevale/sessions/idempotency.py
@@ -14,11 +14,12 @@
 from stagevale.sessions.messages import ReplyCode, ReserveKeyRequest
 from stagevale.sessions.outcome_recorder import OutcomeRecorder
 from stagevale.sessions.ports import SessionForwarder, SessionRequest
-from stagevale.sessions.records import AttemptId, KeyRecord, KeyState, SessionRecord
+from stagevale.sessions.records import KeyRecord, KeyState, SessionRecord
 from stagevale.sessions.session_leases import SessionLease, SessionLeases
 from stagevale.sessions.stored_answer import StoredAnswer
 
-FIRST_SEQUENCE = 1
+IF_UNKNOWN = 1
+TOO_LATE = "its key can't be noted in time"
 # A key is waited for up to this share of the route's latency target.
 PATIENCE_SHARE = 0.5
 # How often a key that is at work elsewhere is looked at, as a share of `contactMs`.
@@ -94,6 +95,7 @@
             self.forwarder.answer(request, UNPROCESSABLE, "the key stands for another request")
             return
         reservation.first = other
+        reservation.has_waited = True
         first.waiting.append(request)
 
     def _acquire_lease(self, request: SessionRequest) -> None:
@@ -122,9 +124,7 @@
         if known is not None and known.expires_ms <= self.context.now_ms():
             known = None
         if known is None or known.state == KeyState.NOT_RUN:
-            again = known is not None and known.attempt.lease == lease.record.lease
-            sequence = known.attempt.sequence + 1 if known and again else FIRST_SEQUENCE
-            self._reserve(request, lease, sequence, until_ms)
+            self._reserve(request, lease, until_ms)
         elif known.fingerprint != reservation.fingerprint:
             self.finish_unanswered(request, None)
             self.forwarder.answer(request, UNPROCESSABLE, "the key stands for another request")
@@ -195,16 +195,13 @@
 
     # reserving
 
-    def _reserve(
-        self, request: SessionRequest, lease: SessionLease, sequence: int, until_ms: float
-    ) -> None:
+    def _reserve(self, request: SessionRequest, lease: SessionLease, until_ms: float) -> None:
         """Has the request's key reserved by a majority under the lease, then sends the request."""
         reservation = reservation_of(request)
         if self.context.now_ms() > until_ms:
-            self._reject(request, "its key can't be noted in time")
+            self._give_up_reserving(request)
             return
-        held = lease.record.lease
-        reservation.attempt = AttemptId(held.number, held.holder, sequence)
+        attempt = reservation.attempt = lease.next_attempt()
         own_id = self.client.own_id()
         self.client.request_all(
             reservation.group,
@@ -213,17 +210,34 @@
                 reservation.group,
                 version,
                 reservation.session,
-                held.number,
-                held.holder,
+                attempt.number,
+                attempt.holder,
                 reservation.key,
-                sequence,
+                attempt.sequence,
                 reservation.fingerprint,
                 own_id,
                 request.route.affinity.keep_ms,
+                IF_UNKNOWN,
             ),
             lambda replies: self._on_reserved(request, lease, until_ms, replies),
         )
 
+    def _give_up_reserving(self, request: SessionRequest) -> None:
+        """It is too late to begin a request; one that waited for another gets that one's answer."""
+        reservation = reservation_of(request)
+        if not reservation.has_waited:
+            self._reject(request, TOO_LATE)
+            return
+
+        def on_read(record: SessionRecord) -> None:
+            known = record.keys.get(reservation.key)
+            if request.answer is None and known is not None and known.state == KeyState.ANSWERED:
+                self._decide(request, SessionLease(reservation.group, 0, record), 0.0)
+            else:
+                self._reject(request, TOO_LATE)
+
+        self.lookup.read(request, on_read)
+
     def _on_reserved(
         self,
         request: SessionRequest,
@@ -282,7 +296,7 @@
         if overtaken and now_ms < until_ms and request.answer is None:
             self._acquire_lease(request)
         else:
-            self._reject(request, "its key can't be noted in time")
+            self._reject(request, TOO_LATE)
 
     # after the request was sent
 
@@ -369,7 +383,9 @@
         )
 
     def _forget(self, request: SessionRequest) -> None:
-        """The request is over here: requests that waited for it are begun anew."""
+        """The request is over here: requests that waited for it are begun anew, and go by what the
+        lease has of the key. Whoever repeats it later asks the group.
+        """
         reservation = reservation_of(request)
         if self.live.get(reservation.id) is request:
             del self.live[reservation.id]
@@ -378,3 +394,6 @@
             if other.answer is None:
                 reservation_of(other).first = None
                 self.start(other)
+        lease = self.leases.held.get(reservation.session)
+        if lease is not None and reservation.attempt is not None:
+            lease.record.keys.pop(reservation.key, None)
--- a/stagevale/sessions/key_lookup.py
+++ b/stagevale/sessions/key_lookup.py
@@ -21,7 +21,7 @@
         self.client = client
 
     def read(self, request: SessionRequest, on_read: Callable[[SessionRecord], object]) -> None:
-        """Reads the record of a request's session; `on_read` gets what the replies have together."""
+        """Reads what is known of a request's key; `on_read` gets what the replies have together."""
         reservation = reservation_of(request)
 
         def replied(replies: GroupReplies) -> None:
@@ -35,7 +35,9 @@
         self.client.request_all(
             reservation.group,
             MessageKind.SESSION_READ,
-            lambda version: ReadSessionRequest(reservation.group, version, reservation.session),
+            lambda version: ReadSessionRequest(
+                reservation.group, version, reservation.session, reservation.key
+            ),
             replied,
         )
 
--- a/stagevale/sessions/key_reservation.py
+++ b/stagevale/sessions/key_reservation.py
@@ -17,6 +17,7 @@
         recorded: the outcome is recorded, or needn't be.
         waiting: requests under the same key that wait for this one.
         first: the request under the same key that this one waits for, or None.
+        has_waited: it has waited for another one at some time.
     """
 
     __slots__ = (
@@ -30,6 +31,7 @@
         "recorded",
         "waiting",
         "first",
+        "has_waited",
     )
 
     def __init__(self, session: str, key: str, fingerprint: str, group: str) -> None:
@@ -43,6 +45,7 @@
         self.recorded = False
         self.waiting: list[SessionRequest] = []
         self.first: SessionRequest | None = None
+        self.has_waited = False
 
     @property
     def id(self) -> tuple[str, str]:
--- a/stagevale/sessions/messages.py
+++ b/stagevale/sessions/messages.py
@@ -18,17 +18,28 @@
 
 
 class AcquireRequest(NamedTuple):
-    """A proxy asks for the lease of a session under a higher version."""
+    """A proxy asks for the lease of a session under a higher version.
+
+    Attributes:
+        without_keys: 1 where the proxy asks for keys one by one; releases before it want the
+            records of all keys with the lease.
+    """
 
     group: str
     group_version: int
     session: str
     number: int
     holder: str
+    without_keys: int | None = None
 
 
 class ReserveKeyRequest(NamedTuple):
-    """The holder of a session's lease reserves a key before the request is sent."""
+    """The holder of a session's lease reserves a key before the request is sent.
+
+    Attributes:
+        if_unknown: 1 where the holder hasn't seen what the replicas know of the key: one that knows
+            of an attempt that may have run replies with it and reserves nothing.
+    """
 
     group: str
     group_version: int
@@ -40,6 +51,7 @@
     fingerprint: str
     reserved_by: str
     keep_ms: float
+    if_unknown: int | None = None
 
 
 class RecordOutcomeRequest(NamedTuple):
@@ -54,11 +66,16 @@
 
 
 class ReadSessionRequest(NamedTuple):
-    """Asks what is known of a session, without acquiring its lease."""
+    """Asks what is known of a session, without acquiring its lease.
+
+    Attributes:
+        key: the only key whose record is wanted; None for all.
+    """
 
     group: str
     group_version: int
     session: str
+    key: str | None = None
 
 
 class FindSessionsRequest(NamedTuple):
--- a/stagevale/sessions/records.py
+++ b/stagevale/sessions/records.py
@@ -1,7 +1,7 @@
 """What is known of a session: who holds its lease, its endpoints, its requests by key."""
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any, NamedTuple
 
 
@@ -97,9 +97,25 @@
             self.expires_ms,
         )
 
-    def precedence(self) -> tuple[AttemptId, KeyState]:
-        """Of two records of one key the one with the higher precedence is kept."""
-        return self.attempt, self.state
+    def may_have_run(self, now_ms: float) -> bool:
+        """True while this record forbids another attempt at its key."""
+        return self.expires_ms > now_ms and self.state != KeyState.NOT_RUN
+
+    def goes_over(self, known: "KeyRecord") -> bool:
+        """True where this record, and not the one that is known, tells what became of the key.
+
+        At most one attempt runs. What is said of one attempt is told apart by its state; an answer
+        goes over other attempts, and one that didn't run says nothing of another that may have.
+        """
+        if self.attempt == known.attempt:
+            return self.state > known.state
+        if known.state == KeyState.ANSWERED or self.state == KeyState.ANSWERED:
+            return known.state != KeyState.ANSWERED or (
+                self.state == KeyState.ANSWERED and self.attempt > known.attempt
+            )
+        if (self.state == KeyState.NOT_RUN) != (known.state == KeyState.NOT_RUN):
+            return known.state == KeyState.NOT_RUN
+        return self.attempt > known.attempt
 
     def to_fields(self, now_ms: float) -> list[Any]:
         """The record for a message or the disk; what is left of its time travels."""
@@ -151,16 +167,22 @@
         self.endpoints = dict(endpoints or {})
         self.keys = dict(keys or {})
 
-    def to_fields(self, now_ms: float) -> list[Any]:
-        """The record for a message or the disk, without expired keys."""
+    def to_fields(self, now_ms: float, keys: Collection[str] | None = None) -> list[Any]:
+        """The record for a message or the disk, without expired keys.
+
+        Args:
+            now_ms: the present.
+            keys: those that are wanted; None for all.
+        """
+        wanted = self.keys if keys is None else [key for key in keys if key in self.keys]
         return [
             self.lease.number,
             self.lease.holder,
             self.endpoints,
             {
-                key: record.to_fields(now_ms)
-                for key, record in self.keys.items()
-                if record.expires_ms > now_ms
+                key: self.keys[key].to_fields(now_ms)
+                for key in wanted
+                if self.keys[key].expires_ms > now_ms
             },
         ]
 
@@ -205,7 +227,7 @@
     def merge_key(self, key: str, record: KeyRecord) -> None:
         """Takes in what is known of a key, where that is newer."""
         known = self.keys.get(key)
-        if known is None or record.precedence() > known.precedence():
+        if known is None or record.goes_over(known):
             self.keys[key] = record
 
     def drop_expired(self, now_ms: float) -> None:
--- a/stagevale/sessions/replica.py
+++ b/stagevale/sessions/replica.py
@@ -3,7 +3,7 @@
 """
 
 import functools
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from stagevale.configuration.value import SessionGroup
@@ -33,25 +33,16 @@
     LeaseVersion,
     SessionRecord,
 )
-from stagevale.storage.row_log import Rows
-from stagevale.storage.row_log_writer import Log, RowLogWriter
+from stagevale.sessions.session_store import SessionStore
+from stagevale.storage.row_log_writer import Log
 
 # How soon to ask again for records that no majority has handed over, as a share of `contactMs`.
 SYNC_RETRY_SHARE = 0.1
 NOT_A_REPLICA = SessionReply(ReplyCode.NOT_A_REPLICA)
-# The first field of a row of the log.
-GROUP_ROW = "group"
-RECORD_ROW = "record"
 
 
-def group_row(name: str, learned_version: int, sealed_version: int) -> list[Any]:
-    """The row that says how far a group is."""
-    return [GROUP_ROW, name, learned_version, sealed_version]
-
-
-def record_row(name: str, session: str, fields: list[Any]) -> list[Any]:
-    """The row that holds a session's record."""
-    return [RECORD_ROW, name, session, fields]
+def _attempt_of(request: ReserveKeyRequest) -> AttemptId:
+    return AttemptId(request.number, request.holder, request.attempt_count)
 
 
 class SessionReplica:
@@ -63,14 +54,22 @@
         counts: for the tools.
     """
 
-    __slots__ = ("context", "rpc", "groups", "counts", "_log", "_loaded", "_newest_groups")
+    __slots__ = ("context", "rpc", "groups", "counts", "_store", "_loaded", "_newest_groups")
+
+    def __init__(self, context: Context, rpc: RpcTransport, log: Log, key_log: Log) -> None:
+        """Makes a replica, which reads its disk first.
 
-    def __init__(self, context: Context, rpc: RpcTransport, log: Log) -> None:
+        Args:
+            context: of the daemon.
+            rpc: likewise.
+            log: of groups and sessions.
+            key_log: of keys.
+        """
         self.context = context
         self.rpc = rpc
         self.groups: dict[str, GroupReplica] = {}
         self.counts = {"taken": 0, "handedOver": 0, "noted": 0}
-        self._log = RowLogWriter(context, log, self._all_rows, "sessions")
+        self._store = SessionStore(context, log, key_log, self.groups)
         self._loaded = False
         self._newest_groups: Mapping[str, SessionGroup] = {}
         kind = MessageKind
@@ -81,45 +80,14 @@
         rpc.handle(kind.SESSION_FIND, FindSessionsRequest, self._on_find)
         rpc.handle(kind.SESSION_SYNC, SyncRequest, self._on_sync)
         rpc.handle(kind.SESSION_SYNC_STATUS, SyncRequest, self._on_sync_status)
-        self._log.load(self._on_loaded)
+        self._store.load(self._on_loaded)
 
-    # disk
+    # groups
 
-    def _on_loaded(self, rows: Rows) -> None:
-        now_ms = self.context.now_ms()
-        for kind, name, *fields in rows:
-            group = self.groups.setdefault(name, GroupReplica())
-            if kind == GROUP_ROW:
-                group.learned_version, group.sealed_version = fields
-            else:
-                session, record = fields
-                group.record_of(session).replace(SessionRecord.from_fields(record, now_ms))
+    def _on_loaded(self) -> None:
         self._loaded = True
         self.configure(self._newest_groups)
 
-    def _all_rows(self) -> Rows:
-        now_ms = self.context.now_ms()
-        rows = []
-        for name, group in self.groups.items():
-            rows.append(group_row(name, group.learned_version, group.sealed_version))
-            rows += [
-                record_row(name, session, record.to_fields(now_ms))
-                for session, record in group.records.items()
-            ]
-        return rows
-
-    def _save_record(
-        self,
-        name: str,
-        session: str,
-        record: SessionRecord,
-        on_saved: Callable[[], object] | None = None,
-    ) -> None:
-        row = record_row(name, session, record.to_fields(self.context.now_ms()))
-        self._log.save(row, on_saved)
-
-    # groups
-
     def configure(self, groups: Mapping[str, SessionGroup]) -> None:
         """Takes in the newest session groups."""
         self._newest_groups = groups
@@ -171,10 +139,8 @@
         for records in replies:
             for session, fields in records.items():
                 group.record_of(session).merge(SessionRecord.from_fields(fields, now_ms))
-        for session, record in group.records.items():
-            self._save_record(name, session, record)
 
-        def saved() -> None:
+        def learned() -> None:
             if group.version == version:
                 group.learned_version = version
                 self.context.log.info(
@@ -184,7 +150,10 @@
                     len(group.records),
                 )
 
-        self._log.save(group_row(name, version, group.sealed_version), saved)
+        def saved() -> None:
+            self._store.save_group(name, version, group.sealed_version, learned)
+
+        self._store.save_all(name, group.records, saved)
 
     def _on_sync(self, peer: str, request: SyncRequest, reply: Reply) -> None:
         """A member of a later group asks: what is written here is handed over, and nothing more is
@@ -205,7 +174,7 @@
         version = request.group_version
         if version > group.version and version > group.sealed_version:
             group.sealed_version = version
-            self._log.save(group_row(request.group, group.learned_version, version), answer)
+            self._store.save_group(request.group, group.learned_version, version, answer)
         else:
             answer()
 
@@ -238,16 +207,12 @@
         self.counts["taken"] += 1
         if former_holder not in ("", lease.holder):
             self.counts["handedOver"] += 1
-        now_ms = self.context.now_ms()
         record.lease = lease
-        record.drop_expired(now_ms)
-        answer = SessionReply(ReplyCode.DONE, record.to_fields(now_ms), former_holder)
-        self._save_and_reply(request.group, request.session, record, reply, answer)
-
-    def _save_and_reply(
-        self, name: str, session: str, record: SessionRecord, reply: Reply, answer: SessionReply
-    ) -> None:
-        self._save_record(name, session, record, functools.partial(reply, message_body(answer)))
+        keys = () if request.without_keys else None
+        fields = record.to_fields(self.context.now_ms(), keys)
+        answer = SessionReply(ReplyCode.DONE, fields, former_holder)
+        replied = functools.partial(reply, message_body(answer))
+        self._store.save_session(request.group, request.session, record, replied)
 
     def _on_reserve_key(self, peer: str, request: ReserveKeyRequest, reply: Reply) -> None:
         """The holder of the lease reserves a key before the request is sent."""
@@ -260,28 +225,39 @@
             reply(message_body(SessionReply(ReplyCode.STALE_LEASE, record.lease.number)))
             return
         now_ms = self.context.now_ms()
-        attempt = AttemptId(request.number, request.holder, request.attempt_count)
-        known = record.keys.get(request.key)
-        if known is None or known.attempt < attempt:
-            known = group.key_of_other_release(
-                request.session, request.key, request.fingerprint, now_ms
-            )
-        if known is not None:
-            fields = known.to_fields(now_ms)
+        blocking = self._blocking_record(group, record, request, now_ms)
+        if blocking is not None:
+            fields = blocking.to_fields(now_ms)
             reply(message_body(SessionReply(ReplyCode.ALREADY_RESERVED, fields)))
             return
         self.counts["noted"] += 1
-        record.keys[request.key] = KeyRecord(
-            attempt,
+        reserved = record.keys[request.key] = KeyRecord(
+            _attempt_of(request),
             KeyState.RESERVED,
             request.fingerprint,
             request.reserved_by,
             None,
             now_ms + request.keep_ms,
         )
-        self._save_and_reply(
-            request.group, request.session, record, reply, SessionReply(ReplyCode.DONE)
-        )
+        replied = functools.partial(reply, message_body(SessionReply(ReplyCode.DONE)))
+        self._store.save_key(request.group, request.session, request.key, reserved, replied)
+
+    def _blocking_record(
+        self, group: GroupReplica, record: SessionRecord, request: ReserveKeyRequest, now_ms: float
+    ) -> KeyRecord | None:
+        """What is known of a key that forbids to reserve it, or None.
+
+        A holder of a release before has seen all keys with its lease, so that only what was reserved
+        since then forbids it.
+        """
+        known = record.keys.get(request.key)
+        if known is not None and known.expires_ms <= now_ms:
+            known = None
+        if known is not None and known.attempt >= _attempt_of(request):
+            return known
+        if known is not None and request.if_unknown and known.may_have_run(now_ms):
+            return known
+        return group.key_of_other_release(request.session, request.key, request.fingerprint, now_ms)
 
     def _on_record_outcome(self, peer: str, request: RecordOutcomeRequest, reply: Reply) -> None:
         """What became of a reserved key, whoever holds the lease by now."""
@@ -292,16 +268,19 @@
         record = group.record_of(request.session)
         outcome = KeyRecord.from_fields(request.record, self.context.now_ms())
         record.merge_key(request.key, outcome)
-        record.endpoints.update(request.endpoints)
-        self._save_and_reply(
-            request.group, request.session, record, reply, SessionReply(ReplyCode.DONE)
-        )
+        if any(record.endpoints.get(service) != id for service, id in request.endpoints.items()):
+            record.endpoints.update(request.endpoints)
+            self._store.save_session(request.group, request.session, record)
+        replied = functools.partial(reply, message_body(SessionReply(ReplyCode.DONE)))
+        known = record.keys[request.key]
+        self._store.save_key(request.group, request.session, request.key, known, replied)
 
     def _on_read(self, peer: str, request: ReadSessionRequest, reply: Reply) -> None:
-        """What is known of a session, without acquiring its lease."""
+        """What is known of a session or of one of its keys, without acquiring its lease."""
         group = self._replica_for(request.group, request.group_version)
         record = group.records.get(request.session) if group is not None else None
-        fields = record.to_fields(self.context.now_ms()) if record is not None else None
+        keys = None if request.key is None else (request.key,)
+        fields = record.to_fields(self.context.now_ms(), keys) if record is not None else None
         reply([0 if group is None else 1, fields])
 
     def _on_find(self, peer: str, request: FindSessionsRequest, reply: Reply) -> None:
--- a/stagevale/sessions/session_leases.py
+++ b/stagevale/sessions/session_leases.py
@@ -10,25 +10,30 @@
 from stagevale.sessions.endpoint_affinity import MOST_SESSIONS, EndpointAffinity
 from stagevale.sessions.group_client import GroupClient, GroupReplies
 from stagevale.sessions.messages import AcquireRequest, ReplyCode, SuccessorRow
-from stagevale.sessions.records import LeaseVersion, SessionRecord
+from stagevale.sessions.records import AttemptId, LeaseVersion, SessionRecord
 
 FIRST_NUMBER = 1
+WITHOUT_KEYS = 1
 # A lease that another proxy has acquired meanwhile is tried again after a random pause, so that two
 # don't go on overtaking each other.
 BACKOFF_MS = (2.0, 15.0)
 
 
 class SessionLease:
-    """A session that this proxy holds, as the group had it when it was acquired, and what was
-    reserved since.
-    """
+    """A session that this proxy holds; its record has the keys that are at work here, and no others."""
 
-    __slots__ = ("group", "group_version", "record")
+    __slots__ = ("group", "group_version", "record", "_last_sequence")
 
     def __init__(self, group: str, group_version: int, record: SessionRecord) -> None:
         self.group = group
         self.group_version = group_version
         self.record = record
+        self._last_sequence = 0
+
+    def next_attempt(self) -> AttemptId:
+        """An attempt under this lease; no two are alike."""
+        self._last_sequence += 1
+        return AttemptId(*self.record.lease, self._last_sequence)
 
 
 class Waiter(NamedTuple):
@@ -126,7 +131,9 @@
         self.client.request_all(
             group_name,
             MessageKind.SESSION_ACQUIRE,
-            lambda version: AcquireRequest(group_name, version, session, number, own_id),
+            lambda version: AcquireRequest(
+                group_name, version, session, number, own_id, WITHOUT_KEYS
+            ),
             done,
         )
 
--- a/stagevale/storage/merging_log.py
+++ b/stagevale/storage/merging_log.py
@@ -1,6 +1,9 @@
 """A log of rows that are never taken back, on disk in tables that are merged as they grow old."""
 
 import contextlib
+import struct
+from collections.abc import Callable
+from typing import NamedTuple
 
 from stagevale.rpc import codec
 from stagevale.storage.folder import Folder
@@ -11,20 +14,56 @@
 # So many tables of one level become one of the next: each row is written once more for each level.
 FAN_OUT = 16
 LEVELS = 6
+# A table is a series of batches, each behind its length.
+LENGTH = struct.Struct("!I")
+
+
+class RowCodec(NamedTuple):
+    """How a batch of rows becomes bytes."""
+
+    encode: Callable[[Rows], bytes]
+    decode: Callable[[bytes], Rows]
+
+
+JSON_ROWS = RowCodec(codec.encode_rows, codec.decode_rows)
+
+
+class Lifetime(NamedTuple):
+    """For how long rows are kept.
+
+    Attributes:
+        now_ms: the monotonic clock.
+        longest_ms: the longest that a row of a batch is wanted.
+    """
+
+    now_ms: Callable[[], float]
+    longest_ms: Callable[[Rows], float]
 
 
 class MergingLog:
     """Appends batches; the cost of one doesn't grow with all that is there.
 
     After a loss of power tables that were merged may be there beside the merged one, so that rows
-    can come twice. Every call belongs on the disk thread.
+    can come twice and out of their order. Every call belongs on the disk thread.
     """
 
-    __slots__ = ("folder", "_numbers", "_last")
+    __slots__ = ("folder", "row_codec", "lifetime", "_expires_ms", "_last")
 
-    def __init__(self, folder: Folder) -> None:
+    def __init__(
+        self, folder: Folder, row_codec: RowCodec = JSON_ROWS, lifetime: Lifetime | None = None
+    ) -> None:
+        """Makes a log.
+
+        Args:
+            folder: where it is.
+            row_codec: how rows are written.
+            lifetime: for how long rows are kept; None for ever.
+        """
         self.folder = folder
-        self._numbers: list[list[int]] | None = None
+        self.row_codec = row_codec
+        self.lifetime = lifetime
+        # When each table may be removed, by level and number; None until the folder was looked at.
+        self._expires_ms: list[dict[int, float]] | None = None
         # The highest number of each level; those of removed tables aren't used again.
         self._last = [0] * LEVELS
 
@@ -32,8 +71,14 @@
         """All rows of complete tables, older ones first."""
         rows: Rows = []
         for level in reversed(range(LEVELS)):
-            for number in self._numbers_of(level):
-                rows += self._read(level, number) or []
+            tables = self._tables(level)
+            for number in sorted(tables):
+                batches = self._batches(level, number)
+                if batches is None:
+                    continue
+                loaded = [row for batch in batches for row in self.row_codec.decode(batch)]
+                tables[number] = self._expiry_of(loaded)
+                rows += loaded
         return rows
 
     def wants_snapshot(self) -> bool:
@@ -46,14 +91,30 @@
         Raises:
             OSError: the disk failed.
         """
-        self._write(0, rows)
+        self._write(0, [self.row_codec.encode(rows)], self._expiry_of(rows))
         # The batch is on disk: tables that can't be merged now are merged after another one.
         with contextlib.suppress(OSError):
+            self._remove_expired()
             self._merge_full_levels()
 
+    def _expiry_of(self, rows: Rows) -> float:
+        if self.lifetime is None:
+            return float("inf")
+        return self.lifetime.now_ms() + self.lifetime.longest_ms(rows)
+
+    def _remove_expired(self) -> None:
+        if self.lifetime is None:
+            return
+        now_ms = self.lifetime.now_ms()
+        for level in range(LEVELS):
+            tables = self._tables(level)
+            for number in [number for number, expires_ms in tables.items() if expires_ms < now_ms]:
+                remove_table(self.folder, _name(level, number))
+                del tables[number]
+
     def _merge_full_levels(self) -> None:
         for level in range(LEVELS - 1):
-            if len(self._numbers_of(level)) < FAN_OUT:
+            if len(self._tables(level)) < FAN_OUT:
                 break
             self._merge(level)
 
@@ -61,30 +122,44 @@
         """Puts one table of the next level in the place of all tables of this one; one that can't
         be read stays.
         """
-        numbers = self._numbers_of(level)
-        tables = {number: self._read(level, number) for number in numbers}
-        read = {number: rows for number, rows in tables.items() if rows is not None}
-        self._write(level + 1, [row for rows in read.values() for row in rows])
-        for number in read:
+        tables = self._tables(level)
+        found = {number: self._batches(level, number) for number in sorted(tables)}
+        readable = {number: batches for number, batches in found.items() if batches is not None}
+        merged = [batch for batches in readable.values() for batch in batches]
+        self._write(level + 1, merged, max(tables.values()))
+        for number in readable:
             remove_table(self.folder, _name(level, number))
-        numbers.clear()
-
-    def _numbers_of(self, level: int) -> list[int]:
-        if self._numbers is None:
-            self._numbers = [numbers_of(self.folder, _prefix(level)) for level in range(LEVELS)]
-            self._last = [max(numbers, default=0) for numbers in self._numbers]
-        return self._numbers[level]
-
-    def _read(self, level: int, number: int) -> Rows | None:
+        tables.clear()
+
+    def _tables(self, level: int) -> dict[int, float]:
+        if self._expires_ms is None:
+            found = [numbers_of(self.folder, _prefix(each)) for each in range(LEVELS)]
+            self._last = [max(numbers, default=0) for numbers in found]
+            # What hasn't been read yet stays.
+            self._expires_ms = [dict.fromkeys(numbers, float("inf")) for numbers in found]
+        return self._expires_ms[level]
+
+    def _batches(self, level: int, number: int) -> list[bytes] | None:
+        """The encoded batches of a table, or None where it can't be read."""
         data = read_table(self.folder, _name(level, number), ROWS_KEY)
-        return codec.decode_rows(data) if data is not None else None
-
-    def _write(self, level: int, rows: Rows) -> None:
-        numbers = self._numbers_of(level)
+        if data is None:
+            return None
+        batches = []
+        start = 0
+        while start < len(data):
+            (size,) = LENGTH.unpack_from(data, start)
+            start += LENGTH.size
+            batches.append(data[start : start + size])
+            start += size
+        return batches
+
+    def _write(self, level: int, batches: list[bytes], expires_ms: float) -> None:
+        tables = self._tables(level)
         self._last[level] += 1
         number = self._last[level]
-        write_table(self.folder, _name(level, number), ROWS_KEY, codec.encode_rows(rows))
-        numbers.append(number)
+        data = b"".join(LENGTH.pack(len(batch)) + batch for batch in batches)
+        write_table(self.folder, _name(level, number), ROWS_KEY, data)
+        tables[number] = expires_ms
 
 
 def _prefix(level: int) -> str:
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -21,7 +21,7 @@
     return SimStore(context, "/none")
 
 
-def registry_daemon(context, session_log):
+def registry_daemon(context, session_log, key_log):
     """A registry whose session records are kept on a simulated disk."""
 
     class SimRegistry(Registry):
@@ -30,7 +30,7 @@
         def make_session_replicas(self):
             from stagevale.sessions.replica import SessionReplica
 
-            return SessionReplica(self.context, self.rpc, session_log)
+            return SessionReplica(self.context, self.rpc, session_log, key_log)
 
     return SimRegistry(context, "/none")
 
@@ -115,8 +115,9 @@
         )
         settings.data_path = ""
         logs = self.world.disks.setdefault("sessions " + ip, MemoryLog())
+        key_logs = self.world.disks.setdefault("keys " + ip, MemoryLog())
         context = SimContext(self.world, settings, f"registry-{number + 1}")
-        daemon = registry_daemon(context, logs)
+        daemon = registry_daemon(context, logs, key_logs)
         self.registries[number] = daemon
         daemon.service.load_hints(self.world.disks.setdefault("registry " + ip, MemoryDisk()))
         daemon.service.keep_departures(self.world.disks.setdefault("departures " + ip, MemoryLog()))
@@ -169,6 +170,7 @@
         self.world.disks[f"10.0.0.{number + 1}"] = MemoryDisk()
         self.world.disks[f"registry 10.0.0.{number + 1}"] = MemoryDisk()
         self.world.disks[f"sessions 10.0.0.{number + 1}"] = MemoryLog()
+        self.world.disks[f"keys 10.0.0.{number + 1}"] = MemoryLog()
         self.world.disks[f"departures 10.0.0.{number + 1}"] = MemoryLog()
         self.world.disks[f"tallies 10.0.0.{number + 1}"] = MemoryLog()
         self.world.disks[f"duties 10.0.0.{number + 1}"] = MemoryDisk()
