--- a/soak/keyed.py
+++ b/soak/keyed.py
@@ -18,7 +18,7 @@
 from soak.runner import form
 
 REASON_CHARACTERS = 60
-SESSION_FOLDER = "sessions"
+SESSION_FOLDERS = ("sessions", "session-keys")
 
 
 class Window(NamedTuple):
@@ -109,7 +109,8 @@
     files = [
         path
         for machine in deployment.core
-        for path in (deployment.folder / machine.name / "data" / SESSION_FOLDER).glob("*")
+        for folder in SESSION_FOLDERS
+        for path in (deployment.folder / machine.name / "data" / folder).glob("*")
     ]
     size = sum(path.stat().st_size for path in files if path.exists())
     return Window(
