Sessions: stored answers are bounded by a quarter of a registry's memory

Answers were kept for keepS without a bound: 60 a second of 30,000 bytes for 600 s are 1 GB. Beyond a quarter of memoryMb a registry refuses to reserve new keys, at once and with a reason of its own; what was reserved stays and is repeated.

--- a/stagevale/sessions/idempotency.py
+++ b/stagevale/sessions/idempotency.py
@@ -292,6 +292,9 @@
                 lease.record.merge_key(reservation.key, record)
             self._decide(request, lease, until_ms)
             return
+        if replies.with_code(ReplyCode.FULL):
+            self._reject(request, "too many answers are kept for its key to be noted")
+            return
         overtaken = bool(replies.with_code(ReplyCode.STALE_LEASE))
         if overtaken and now_ms < until_ms and request.answer is None:
             self._acquire_lease(request)
--- a/stagevale/sessions/messages.py
+++ b/stagevale/sessions/messages.py
@@ -15,6 +15,7 @@
     STALE_LEASE = 0
     DONE = 1
     ALREADY_RESERVED = 2
+    FULL = 3
 
 
 class AcquireRequest(NamedTuple):
--- a/stagevale/sessions/replica.py
+++ b/stagevale/sessions/replica.py
@@ -230,6 +230,10 @@
             fields = blocking.to_fields(now_ms)
             reply(message_body(SessionReply(ReplyCode.ALREADY_RESERVED, fields)))
             return
+        if self._store.is_full():
+            # What was promised stays; nothing new is promised.
+            reply(message_body(SessionReply(ReplyCode.FULL)))
+            return
         self.counts["noted"] += 1
         reserved = record.keys[request.key] = KeyRecord(
             _attempt_of(request),
--- a/stagevale/sessions/session_store.py
+++ b/stagevale/sessions/session_store.py
@@ -20,6 +20,9 @@
 
 # How often expired keys are dropped.
 EXPIRY_INTERVAL_MS = 250.0
+# The share of a process's memory that stored answers may take.
+ANSWERS_SHARE = 0.25
+MB = 1024 * 1024
 
 OnSaved = Callable[[], object]
 
@@ -80,7 +83,7 @@
         session, key, record = fields
         loaded = KeyRecord.from_fields(record, self.context.now_ms())
         group.record_of(session).merge_key(key, loaded)
-        self._expiry.add(name, session, key, loaded.expires_ms)
+        self._expiry.add(name, session, key, loaded)
 
     def _read_session(self, name: str, group: GroupReplica, kind: str, fields: Row) -> None:
         session, content = fields
@@ -143,7 +146,7 @@
         on_saved: OnSaved | None = None,
     ) -> None:
         """Saves what is known of a key."""
-        self._expiry.add(name, session, key, record.expires_ms)
+        self._expiry.add(name, session, key, record)
         row = key_row(name, session, key, record, self.context.now_ms())
         self._key_log.save(row, on_saved)
 
@@ -167,12 +170,19 @@
         else:
             on_saved()
 
+    # bounds
+
+    def is_full(self) -> bool:
+        """True while the answers that are kept take as much memory as they may."""
+        most_bytes = self.context.settings.memory_mb * MB * ANSWERS_SHARE
+        return self._expiry.answer_bytes >= most_bytes
+
     # dropping
 
     def expect_expiry(self, name: str, session: str, record: SessionRecord) -> None:
         """Notes when the keys of a session expire."""
         for key, known in record.keys.items():
-            self._expiry.add(name, session, key, known.expires_ms)
+            self._expiry.add(name, session, key, known)
 
     def _drop_expired(self) -> None:
         self.context.call_later(EXPIRY_INTERVAL_MS, self._drop_expired)
--- a/tests/test_key_records.py
+++ b/tests/test_key_records.py
@@ -7,6 +7,7 @@
 
 from stagevale.balancing import snapshot
 from stagevale.rpc import codec
+from stagevale.sessions import session_store
 from stagevale.sessions.records import AttemptId, KeyRecord, KeyState, SessionRecord
 
 BODY_BYTES = 600
@@ -87,6 +88,24 @@
     assert "k1" not in known()
 
 
+# Answers were kept without a bound, until a registry had no memory left.
+def test_beyond_the_bound_of_stored_answers_new_keys_are_refused_and_promises_kept(monkeypatch):
+    monkeypatch.setattr(snapshot, "DEFAULT_KEEP_S", 6)
+    monkeypatch.setattr(session_store, "ANSWERS_SHARE", 2.5 * BODY_BYTES / (300 * 1024 * 1024))
+    day = Crossing(seed=144)
+    big_answers(day)
+    keys = [f"k{number}" for number in range(12)]
+    statuses = {key: day.answer(day.send(0, key)) for key in keys}
+    assert set(statuses.values()) == {"200", "503"}
+    runs = len(day.runs)
+    for key, status in statuses.items():
+        if status == "200":
+            assert day.answer(day.send(1, key)) == "200"
+    assert len(day.runs) == runs
+    day.world.run(7000)
+    assert day.answer(day.send(1, "later")) == "200"
+
+
 def record(state, number, sequence=1):
     attempt = AttemptId(number, f"p{number}", sequence)
     return KeyRecord(attempt, state, "d", f"p{number}", None, 9e9)
