Replicas: one function of the tolerance, three at least

Two callers put the same two functions together, and a tolerance of no machines would have made session groups of a single registry, where they had three before the tolerance counted.

--- a/stagevale/discovery/heartbeats.py
+++ b/stagevale/discovery/heartbeats.py
@@ -14,7 +14,7 @@
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.transport import Reply
-from stagevale.settings.settings import replicas_to_outlive, tolerated_disks
+from stagevale.settings.settings import replicas_to_outlive
 
 if TYPE_CHECKING:
     from stagevale.discovery.registry_service import RegistryService
@@ -165,7 +165,7 @@
         """The registries that write a departure before it is acknowledged: a shard's replicas and,
         where a majority of these may lose its disks at once, this registry and further ones.
         """
-        size = replicas_to_outlive(tolerated_disks(self.context.settings.tolerance))
+        size = replicas_to_outlive(self.context.settings.tolerance)
         others = [
             member.address
             for member in self.service.registries()
--- a/stagevale/sessions/group_manager.py
+++ b/stagevale/sessions/group_manager.py
@@ -12,7 +12,7 @@
 from stagevale.rpc.kinds import MessageKind
 from stagevale.sessions.groups import group_names, next_groups
 from stagevale.sessions.messages import SyncRequest
-from stagevale.settings.settings import replicas_to_outlive, tolerated_disks
+from stagevale.settings.settings import replicas_to_outlive
 
 if TYPE_CHECKING:
     from stagevale.configuration.node import ConfigurationNode
@@ -52,7 +52,7 @@
             if node.membership.is_reachable(member.address)
         ]
         gone = self._gone(value, registries)
-        size = replicas_to_outlive(tolerated_disks(node.context.settings.tolerance))
+        size = replicas_to_outlive(node.context.settings.tolerance)
         groups = next_groups(value.sessions, _wanted_groups(value), registries, gone, size)
         if groups is not None:
             node.propose(value.changed(sessions=groups), lambda _committed: node.commands.process())
--- a/stagevale/settings/settings.py
+++ b/stagevale/settings/settings.py
@@ -14,6 +14,7 @@
 IPV4_DOTS = 3
 PORT_RANGE_ENDS = 2
 DEFAULT_TOLERANCE = 1
+LEAST_REPLICAS = 3
 
 BOUND_DEFAULTS = {
     "seedStalenessS": 3,
@@ -193,11 +194,13 @@
     return int(tolerance.get("machines", DEFAULT_TOLERANCE))
 
 
-def replicas_to_outlive(disks: int) -> int:
-    """How many replicas state needs of which a majority acknowledges, to outlive the loss of so
-    many disks at once: one that has it is left then, and so is a majority.
+def replicas_to_outlive(tolerance: Mapping[str, Any]) -> int:
+    """How many replicas state needs of which a majority acknowledges, to outlive the loss of as
+    many disks as the platform's tolerance says: one that has it is left then, and so is a majority.
+
+    A platform that tolerates no loss still restarts machines, so that there are three at least.
     """
-    return 2 * disks + 1
+    return max(LEAST_REPLICAS, 2 * tolerated_disks(tolerance) + 1)
 
 
 def split_address(text: object, field: str) -> SocketAddress:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -8,11 +8,19 @@
 
 from stagevale.discovery.instance import InstanceState
 from stagevale.placement.shards import shard_of
+from stagevale.settings.settings import replicas_to_outlive
 
 CONTACT_MS = 4000
 TWO_DISKS = "\n[tolerance]\nmachines = 2\n"
 
 
+# A tolerance of no machines made groups of a single registry.
+@pytest.mark.parametrize("machines, replicas", [(0, 3), (1, 3), (2, 5), (3, 7)])
+def test_replicas_follow_from_the_tolerance_and_are_three_at_least(machines, replicas):
+    assert replicas_to_outlive({"machines": machines}) == replicas
+    assert replicas_to_outlive({}) == 3
+
+
 def with_endpoint(seed, more=""):
     """A fleet that knows an endpoint as ready, with hints of it on every disk."""
     fleet = formed(seed, more=more)
