Storage: tables of a merging log that are large together aren't merged

At a hundred batches a second of answers, sixteen tables of the fourth level would be some 200 MB to be read and written at once, with every save behind it waiting. Tables over 8 MB together stay as they are. Tests also for tables whose rows have all expired. A registry that starts pulls 20,000 adds of tallies at most in one reply; digests bring the rest.

--- a/stagevale/storage/merging_log.py
+++ b/stagevale/storage/merging_log.py
@@ -14,6 +14,8 @@
 # So many tables of one level become one of the next: each row is written once more for each level.
 FAN_OUT = 16
 LEVELS = 6
+# Tables that are larger together stay as they are, so that no merge holds up the saves behind it.
+MOST_MERGED_BYTES = 8 * 1024 * 1024
 # A table is a series of batches, each behind its length.
 LENGTH = struct.Struct("!I")
 
@@ -40,6 +42,18 @@
     longest_ms: Callable[[Rows], float]
 
 
+class Table(NamedTuple):
+    """A table of the log.
+
+    Attributes:
+        expires_ms: when it may be removed.
+        size: its bytes.
+    """
+
+    expires_ms: float
+    size: int
+
+
 class MergingLog:
     """Appends batches; the cost of one doesn't grow with all that is there.
 
@@ -47,7 +61,7 @@
     can come twice and out of their order. Every call belongs on the disk thread.
     """
 
-    __slots__ = ("folder", "row_codec", "lifetime", "_expires_ms", "_last")
+    __slots__ = ("folder", "row_codec", "lifetime", "_known", "_last")
 
     def __init__(
         self, folder: Folder, row_codec: RowCodec = JSON_ROWS, lifetime: Lifetime | None = None
@@ -62,8 +76,8 @@
         self.folder = folder
         self.row_codec = row_codec
         self.lifetime = lifetime
-        # When each table may be removed, by level and number; None until the folder was looked at.
-        self._expires_ms: list[dict[int, float]] | None = None
+        # The tables of each level by number; None until the folder was looked at.
+        self._known: list[dict[int, Table]] | None = None
         # The highest number of each level; those of removed tables aren't used again.
         self._last = [0] * LEVELS
 
@@ -77,7 +91,8 @@
                 if batches is None:
                     continue
                 loaded = [row for batch in batches for row in self.row_codec.decode(batch)]
-                tables[number] = self._expiry_of(loaded)
+                size = sum(map(len, batches))
+                tables[number] = Table(self._expiry_of(loaded), size)
                 rows += loaded
         return rows
 
@@ -108,13 +123,15 @@
         now_ms = self.lifetime.now_ms()
         for level in range(LEVELS):
             tables = self._tables(level)
-            for number in [number for number, expires_ms in tables.items() if expires_ms < now_ms]:
+            for number in [each for each, table in tables.items() if table.expires_ms < now_ms]:
                 remove_table(self.folder, _name(level, number))
                 del tables[number]
 
     def _merge_full_levels(self) -> None:
         for level in range(LEVELS - 1):
-            if len(self._tables(level)) < FAN_OUT:
+            tables = self._tables(level)
+            size = sum(table.size for table in tables.values())
+            if len(tables) < FAN_OUT or size > MOST_MERGED_BYTES:
                 break
             self._merge(level)
 
@@ -126,18 +143,19 @@
         found = {number: self._batches(level, number) for number in sorted(tables)}
         readable = {number: batches for number, batches in found.items() if batches is not None}
         merged = [batch for batches in readable.values() for batch in batches]
-        self._write(level + 1, merged, max(tables.values()))
+        self._write(level + 1, merged, max(table.expires_ms for table in tables.values()))
         for number in readable:
             remove_table(self.folder, _name(level, number))
         tables.clear()
 
-    def _tables(self, level: int) -> dict[int, float]:
-        if self._expires_ms is None:
+    def _tables(self, level: int) -> dict[int, Table]:
+        if self._known is None:
             found = [numbers_of(self.folder, _prefix(each)) for each in range(LEVELS)]
             self._last = [max(numbers, default=0) for numbers in found]
             # What hasn't been read yet stays.
-            self._expires_ms = [dict.fromkeys(numbers, float("inf")) for numbers in found]
-        return self._expires_ms[level]
+            unread = Table(float("inf"), 0)
+            self._known = [dict.fromkeys(numbers, unread) for numbers in found]
+        return self._known[level]
 
     def _batches(self, level: int, number: int) -> list[bytes] | None:
         """The encoded batches of a table, or None where it can't be read."""
@@ -159,7 +177,7 @@
         number = self._last[level]
         data = b"".join(LENGTH.pack(len(batch)) + batch for batch in batches)
         write_table(self.folder, _name(level, number), ROWS_KEY, data)
-        tables[number] = expires_ms
+        tables[number] = Table(expires_ms, len(data))
 
 
 def _prefix(level: int) -> str:
--- a/stagevale/tallies/spread.py
+++ b/stagevale/tallies/spread.py
@@ -18,6 +18,8 @@
 DIGEST_SHARE = 0.2
 # So many adds go in one message, so that a long partition's adds don't hold up a link.
 MOST_ADDS = 1000
+# So many adds are in the reply to a registry that has just started; digests bring it the rest.
+MOST_PULLED_ADDS = 20_000
 
 
 class NewAdd:
@@ -144,7 +146,7 @@
             self.rpc.send(peer, MessageKind.TALLY_DIGEST, TallyDigest(known))
 
     def _on_pull(self, peer: str, message: PullAdds, reply: Reply) -> None:
-        """A registry has just started: it gets all that is known here."""
+        """A registry has just started: it gets what is known here."""
         state = self.replica.state
         missing = state.missing(message.complete, state.digest())
-        reply(codec.encode_rows(to_runs(missing)))
+        reply(codec.encode_rows(to_runs(missing[:MOST_PULLED_ADDS])))
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -9,7 +9,7 @@
 from stagevale.storage import merging_log
 from stagevale.storage.folder import Folder
 from stagevale.storage.generations import GenerationFile
-from stagevale.storage.merging_log import FAN_OUT, MergingLog
+from stagevale.storage.merging_log import FAN_OUT, Lifetime, MergingLog
 
 FIRST, SECOND = b"first record " * 9, b"second record, longer than the first " * 11
 
@@ -167,3 +167,34 @@
     loaded = {tuple(row) for row in MergingLog(Folder(str(tmp_path))).load()}
     wanted = [*range(FAN_OUT - 1), 50, *range(60, 60 + FAN_OUT)]
     assert loaded == {("add", f"id-{number}", number) for number in wanted}
+
+
+def test_tables_of_a_merging_log_that_are_large_together_are_not_merged(tmp_path, monkeypatch):
+    """Merging them would hold up the saves behind it."""
+    monkeypatch.setattr(merging_log, "MOST_MERGED_BYTES", 400)
+    log, given = MergingLog(Folder(str(tmp_path))), []
+    for number in range(5 * FAN_OUT):
+        log.append(log_rows(number, 2), False)
+        given += log_rows(number, 2)
+    largest = max(path.stat().st_size for path in tmp_path.glob("*.dat"))
+    assert largest < 400 + 512 + 512
+    assert {tuple(row) for row in MergingLog(Folder(str(tmp_path))).load()} == set(
+        map(tuple, given)
+    )
+
+
+def test_tables_of_a_merging_log_go_when_all_of_their_rows_have_expired(tmp_path):
+    now = [0.0]
+    lifetime = Lifetime(lambda: now[0], lambda rows: max(row[2] for row in rows))
+    log = MergingLog(Folder(str(tmp_path)), lifetime=lifetime)
+    for number in range(FAN_OUT + 3):
+        log.append([["key", f"id-{number}", 100.0]], False)
+    log.append([["key", "lasting", 900.0]], False)
+    now[0] = 101.0
+    log.append([["key", "newest", 100.0]], False)
+    assert [row[1] for row in MergingLog(Folder(str(tmp_path))).load()] == ["lasting", "newest"]
+    again = MergingLog(Folder(str(tmp_path)), lifetime=lifetime)
+    again.load()
+    now[0] = 1002.0
+    again.append([["key", "later", 100.0]], False)
+    assert [row[1] for row in again.load()] == ["later"]
