Soak: applications count in tallies at any daemon; TWICE, STALE and LOST of them are judged

Adds, repeats at another daemon and reads go on through all disruptions; at the end every daemon is read. Tests of the judge on made-up histories.

--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -9,6 +9,7 @@
 APPLY_MS = 2500.0
 EVACUATE_MS = 5000.0
 RECOVERY_S = 15.0
+MERGE_MS = 3000.0
 BEAT_MS = 1500.0
 MEMORY_MB = 300
 FILE_LIMIT = 4100
@@ -25,6 +26,7 @@
     "applyMs": APPLY_MS,
     "evacuateMs": EVACUATE_MS,
     "recoveryS": RECOVERY_S,
+    "mergeMs": MERGE_MS,
     "seedStalenessS": 3,
     "addrReuseS": 2,
     "ttl_max_s": 5,
--- a/soak/history.py
+++ b/soak/history.py
@@ -3,6 +3,7 @@
 import bisect
 from typing import NamedTuple
 
+from soak.bounds import CALLER_PATIENCE_MS
 from soak.clock import now_ms
 
 
@@ -165,6 +166,43 @@
     version: int
 
 
+class TallyAdd:
+    """An add to a tally that was sent to a machine.
+
+    Attributes:
+        name, id, amount: what was added, and where.
+        machine: to whom.
+        sent_ms: when.
+        status: of the answer; None without one.
+        answered_ms: when the answer came, or the caller went on.
+    """
+
+    __slots__ = ("name", "id", "amount", "machine", "sent_ms", "status", "answered_ms")
+
+    def __init__(self, name: str, id: str, amount: int, machine: str, sent_ms: float) -> None:
+        self.name = name
+        self.id = id
+        self.amount = amount
+        self.machine = machine
+        self.sent_ms = sent_ms
+        self.status: int | None = None
+        self.answered_ms: float | None = None
+
+
+class TallyRead(NamedTuple):
+    """A read of a tally; `total` is None for one at the end that was never answered."""
+
+    name: str
+    machine: str
+    sent_ms: float
+    total: int | None
+    is_last: bool
+
+    def answered_by_ms(self) -> float:
+        """Until when an add may have been sent that this read tells."""
+        return self.sent_ms + CALLER_PATIENCE_MS
+
+
 class Span(NamedTuple):
     """A time in which something was wrong; `machine` is empty where it concerns all."""
 
@@ -200,6 +238,8 @@
         self.evacuations: list[Evacuation] = []
         self.departures: list[Departure] = []
         self.reads: list[ConfigRead] = []
+        self.tally_adds: list[TallyAdd] = []
+        self.tally_reads: list[TallyRead] = []
         self.spans: list[Span] = []
         self.terminations: list[Termination] = []
         self.reloads: list[Termination] = []
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -1,9 +1,16 @@
 """Judges a run by the rules as the pages write them."""
 
 from soak.evidence import Break, Evidence
-from soak.rules import answers, configuration, lost, order_of_endpoints, processes
+from soak.rules import answers, configuration, lost, order_of_endpoints, processes, tallies
 
-RULES = (lost.check, answers.check, order_of_endpoints.check, configuration.check, processes.check)
+RULES = (
+    lost.check,
+    answers.check,
+    order_of_endpoints.check,
+    configuration.check,
+    processes.check,
+    tallies.check,
+)
 
 
 def judge(evidence: Evidence) -> list[Break]:
--- a/soak/report.py
+++ b/soak/report.py
@@ -28,7 +28,7 @@
         f"{size.endpoints} endpoints; {len(outcome.disruptions)} disruptions, "
         f"{len(history.sent)} requests, {len(history.runs)} runs, served {outcome.served:.3f}, "
         f"at the end {outcome.served_last:.3f}, in touch {outcome.in_touch:.2f}; {len(history.changes)} changes, "
-        f"{len(history.evacuations)} orders about zones; "
+        f"{len(history.evacuations)} orders about zones, {len(history.tally_adds)} adds; "
         + ", ".join(f"{name} {peak} MB" for name, peak in sorted(outcome.peaks_mb.items()))
     ]
     for each in outcome.breaks[:MOST_SHOWN]:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -21,6 +21,7 @@
 from soak.operators import Operators
 from soak.plan import QUIET_S, Disruption, Plan
 from soak.starvation import watch
+from soak.tallies import TallyCallers
 
 FORMATION_LIMIT_S = 60.0
 FORMATION_POLL_S = 0.1
@@ -86,7 +87,8 @@
             most_upload_mb,
         )
         background: list[Coroutine[Any, Any, None]] = [client.run() for client in clients]
-        background += [watch(deployment, history), operators.read_now_and_then()]
+        callers = TallyCallers(deployment, history, plan.seed)
+        background += [watch(deployment, history), operators.read_now_and_then(), callers.run()]
         tasks = [asyncio.create_task(each) for each in background]
         began_ms = now_ms()
         disruptor = Disruptor(deployment, pool, operators, history)
@@ -95,6 +97,7 @@
         await _while_memory_lasts(asyncio.sleep(rest_s))
         last_ms = now_ms() - LAST_S * MS_PER_S
         await operators.read_version()
+        await callers.read_at_the_end()
         await _cancel(tasks)
         return _outcome(plan, disruptions, deployment, history, last_ms)
     finally:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,8 @@
     Run,
     Sent,
     Span,
+    TallyAdd,
+    TallyRead,
     Termination,
 )
 from soak.judge import judge
@@ -223,6 +225,47 @@
     assert rules_broken(history) == []
 
 
+def added(history, id, status=200, at_ms=T):
+    add = TallyAdd("crates", id, 4, CORE, at_ms)
+    add.status, add.answered_ms = status, at_ms + 50
+    history.tally_adds.append(add)
+
+
+def read(history, total, after_ms=5000, is_last=False):
+    history.tally_reads.append(TallyRead("crates", CORE, T + after_ms, total, is_last))
+
+
+@pytest.mark.parametrize(
+    "total, is_last, broken",
+    [
+        (8, False, []),
+        (12, False, []),
+        (16, False, ["TWICE"]),
+        (4, False, ["STALE"]),
+        (4, True, ["LOST"]),
+        (None, True, ["LOST"]),
+    ],
+)
+def test_tallies_that_are_too_high_or_too_low_are_found(total, is_last, broken):
+    history = History()
+    added(history, "a")
+    added(history, "a")
+    added(history, "b")
+    added(history, "unclear", status=None)
+    added(history, "refused", status=503)
+    read(history, total, is_last=is_last)
+    assert rules_broken(history) == broken
+
+
+def test_a_tally_may_lag_for_as_long_as_merging_takes_and_while_the_core_is_in_trouble():
+    history = History()
+    added(history, "a")
+    read(history, 0, after_ms=2000)
+    history.spans.append(Span(CORE, "killed", T + 3000, T + 3500))
+    read(history, 0, after_ms=5000)
+    assert rules_broken(history) == []
+
+
 def test_ends_and_late_runs_are_found():
     history = History()
     history.own_ends.append(OwnEnd(EDGE, "proxy", "used 700 MB"))
