Sessions: the bound of keys counts what a key takes beside its answer

The ten minutes at 60 a second (answers of 2,400 bytes) showed 4.3 KB a key, 1.9 KB beside its body, and 86 MB of bodies in 600 s: a bound on bodies of a quarter of the memory would have refused keys there, with a third of the memory free, and would not have held with small answers. Keys with their answers take 0.65 of memoryMb at most now.

--- a/stagevale/sessions/session_store.py
+++ b/stagevale/sessions/session_store.py
@@ -20,8 +20,8 @@
 
 # How often expired keys are dropped.
 EXPIRY_INTERVAL_MS = 250.0
-# The share of a process's memory that stored answers may take.
-ANSWERS_SHARE = 0.25
+# The share of a process's memory that keys and their answers may take.
+KEYS_SHARE = 0.65
 MB = 1024 * 1024
 
 OnSaved = Callable[[], object]
@@ -173,9 +173,9 @@
     # bounds
 
     def is_full(self) -> bool:
-        """True while the answers that are kept take as much memory as they may."""
-        most_bytes = self.context.settings.memory_mb * MB * ANSWERS_SHARE
-        return self._expiry.answer_bytes >= most_bytes
+        """True while the keys that are kept take as much memory as they may."""
+        most_bytes = self.context.settings.memory_mb * MB * KEYS_SHARE
+        return self._expiry.kept_bytes >= most_bytes
 
     # dropping
 
