--- a/stagevale/tallies/journal.py
+++ b/stagevale/tallies/journal.py
@@ -21,7 +21,7 @@
     """What a disk had.
 
     Attributes:
-        origin: the name under which this disk accepts adds.
+        origin: the name under which this disk accepts adds; empty for one that has accepted none.
         adds: all adds.
     """
 
@@ -49,7 +49,7 @@
         self._save_planned = False
 
     def load(self, on_loaded: Callable[[LoadedAdds], object]) -> None:
-        """Reads the disk; one without a name gets one."""
+        """Reads the disk."""
         self._writer.load(lambda rows: on_loaded(self._read(rows)))
 
     def _read(self, rows: Rows) -> LoadedAdds:
@@ -60,11 +60,14 @@
                 (origin,) = fields
             else:
                 adds.append(_read_add(fields))
-        if not origin:
-            origin = f"{self.context.random.getrandbits(ORIGIN_BITS):012x}"
-            self._writer.save([ORIGIN_ROW, origin])
         return LoadedAdds(origin, adds)
 
+    def draw_origin(self) -> str:
+        """A name for this disk, which is saved before the first add under it."""
+        origin = f"{self.context.random.getrandbits(ORIGIN_BITS):012x}"
+        self._writer.save([ORIGIN_ROW, origin])
+        return origin
+
     def save_later(self, adds: Iterable[LoggedAdd]) -> None:
         """Saves adds together with what else comes within a moment."""
         self._unsaved.update((logged.position, logged) for logged in adds)
--- a/stagevale/tallies/replica.py
+++ b/stagevale/tallies/replica.py
@@ -57,6 +57,8 @@
         "journal",
         "_origin",
         "_last_number",
+        "_loaded",
+        "_pulls",
         "_caught_up",
         "_under_way",
     )
@@ -70,6 +72,8 @@
         self.journal = TallyJournal(self.context, log)
         self._origin = ""
         self._last_number = 0
+        self._loaded = False
+        self._pulls = 0
         self._caught_up = False
         self._under_way: dict[tuple[str, str], list[OnOutcome]] = {}
         self.rpc.handle(MessageKind.TALLY_APPEND, AppendAdds, self._on_append)
@@ -83,6 +87,7 @@
             self.state.merge(logged)
         self._origin = loaded.origin
         self._last_number = self.state.last_number(loaded.origin)
+        self._loaded = True
         self.spread.start()
         self._catch_up()
 
@@ -90,7 +95,8 @@
         """Asks one registry after the other until one has told all that it knows."""
         if self._caught_up or not self.service.is_starting():
             return
-        peers = self._peers()
+        own_region = self.me.region
+        peers = sorted(self._peers(), key=lambda member: member.region != own_region)
         if not peers:
             self.context.call_later(PULL_TIMEOUT_MS, self._catch_up)
             return
@@ -102,7 +108,8 @@
             self._caught_up = True
             self._merge(from_runs(codec.decode_rows(runs)))
 
-        peer = self.context.random.choice(peers)
+        peer = peers[self._pulls % len(peers)]
+        self._pulls += 1
         message = PullAdds(self.state.digest())
         self.rpc.request(
             peer.address, MessageKind.TALLY_PULL, message, bytes, replied, PULL_TIMEOUT_MS
@@ -112,7 +119,7 @@
         """True once the disk was read and another registry has told what came since, or there was
         time for that.
         """
-        return bool(self._origin) and (self._caught_up or not self.service.is_starting())
+        return self._loaded and (self._caught_up or not self.service.is_starting())
 
     # the other registries
 
@@ -172,6 +179,8 @@
         if known is not None:
             self.journal.ensure_saved([known], lambda: self._bring_to_others(known))
             return
+        if not self._origin:
+            self._origin = self.journal.draw_origin()
         self._last_number += 1
         logged = LoggedAdd(Position(self._origin, self._last_number), add)
         self.journal.save_later([logged])
@@ -213,7 +222,7 @@
 
     def _on_append(self, peer: str, message: AppendAdds, reply: Reply) -> None:
         """Another registry wants a copy on this one's disk."""
-        if not self._origin:
+        if not self._loaded:
             # Nothing is written before the disk was read.
             return
         adds = from_runs(codec.decode_rows(message.runs))
