Directory: a host's homes are read only where its client's region has no front

Each look-up asked for them, so that the first after each change parsed the whole configuration for an answer that hardly ever needs it. No other behaviour; the directory's tests pass as they are.

--- a/stagevale/discovery/proxy_directory.py
+++ b/stagevale/discovery/proxy_directory.py
@@ -79,9 +79,14 @@
         ready = {_front_of(row) for row in rows if row.is_ready and row.front}
         still_open = self._still_open()
         draining = {_front_of(row) for row in rows if row.address in still_open and row.front}
-        homes = self._homes.of(host, self.service.configuration.value)
-        own_region = region or settings.zones.get(zone, "")
-        return choose_fronts(zone, own_region, ready, draining - ready, homes)
+        value = self.service.configuration.value
+        return choose_fronts(
+            zone,
+            region or settings.zones.get(zone, ""),
+            ready,
+            draining - ready,
+            lambda: self._homes.of(host, value),
+        )
 
     def _still_open(self) -> set[str]:
         """The proxies that shut down and take connections for a while still."""
--- a/stagevale/placement/fronts.py
+++ b/stagevale/placement/fronts.py
@@ -1,6 +1,6 @@
 """Which fronts a client is told of."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 from stagevale.runtime.clock import MS_PER_S
@@ -56,7 +56,7 @@
     region: str,
     ready: Collection[ReadyFront],
     draining: Collection[ReadyFront] = (),
-    homes: Collection[str] = (),
+    homes_of_host: Callable[[], Collection[str]] = tuple,
 ) -> FrontChoice:
     """The fronts for a client: those of its own zone, else of its region, there rather one that
     shuts down than one of another region; then those of its host's homes, else any.
@@ -66,7 +66,8 @@
         region: likewise.
         ready: the fronts that are ready.
         draining: those that shut down and still take connections.
-        homes: regions that the host's requests may be served in; empty for all.
+        homes_of_host: tells the regions that the host's requests may be served in, none for all;
+            called only where the client's region has no front.
     """
     in_zone = _named(each for each in ready if each.zone == zone)
     if in_zone:
@@ -77,5 +78,6 @@
     still_open = _named(each for each in draining if each.region == region)
     if still_open:
         return FrontChoice(still_open, True)
+    homes = homes_of_host()
     in_homes = _named(each for each in ready if each.region in homes)
     return FrontChoice((in_homes or _named(ready))[:MOST_FRONTS], False)
