Sessions: what is loaded is noted for its expiry once; unused code goes

Each row of a release before holds all keys of its session, and noting them with each row counted them again and again towards the bound of keys, so that new ones could be refused after an upgrade for as long as keys are kept. Found by reading; no test of it. Removed: SessionRecord.drop_expired, AttemptId.lease, a slot that nobody set.

--- a/stagevale/sessions/records.py
+++ b/stagevale/sessions/records.py
@@ -50,11 +50,6 @@
     holder: str
     sequence: int
 
-    @property
-    def lease(self) -> LeaseVersion:
-        """The version of the lease."""
-        return LeaseVersion(self.number, self.holder)
-
 
 class KeyRecord:
     """One at-most-once request under its key.
@@ -229,7 +224,3 @@
         known = self.keys.get(key)
         if known is None or record.goes_over(known):
             self.keys[key] = record
-
-    def drop_expired(self, now_ms: float) -> None:
-        """Drops the keys that have expired."""
-        self.keys = {key: record for key, record in self.keys.items() if record.expires_ms > now_ms}
--- a/stagevale/sessions/session_store.py
+++ b/stagevale/sessions/session_store.py
@@ -63,6 +63,7 @@
 
         def keys_loaded(rows: Rows) -> None:
             self._read(rows)
+            self._expect_expiry()
             self._move_keys()
             self.context.call_later(EXPIRY_INTERVAL_MS, self._drop_expired)
             on_loaded()
@@ -75,24 +76,22 @@
             if kind == GROUP_ROW:
                 group.learned_version, group.sealed_version = fields
             elif kind == KEY_ROW:
-                self._read_key(name, group, fields)
+                self._read_key(group, fields)
             else:
-                self._read_session(name, group, kind, fields)
+                self._read_session(group, kind, fields)
 
-    def _read_key(self, name: str, group: GroupReplica, fields: Row) -> None:
+    def _read_key(self, group: GroupReplica, fields: Row) -> None:
         session, key, record = fields
         loaded = KeyRecord.from_fields(record, self.context.now_ms())
         group.record_of(session).merge_key(key, loaded)
-        self._expiry.add(name, session, key, loaded)
 
-    def _read_session(self, name: str, group: GroupReplica, kind: str, fields: Row) -> None:
+    def _read_session(self, group: GroupReplica, kind: str, fields: Row) -> None:
         session, content = fields
         loaded = SessionRecord.from_fields(content, self.context.now_ms())
         record = group.record_of(session)
         if kind == LEASE_ROW:
             loaded.keys = record.keys
         record.replace(loaded)
-        self.expect_expiry(name, session, record)
 
     def _move_keys(self) -> None:
         """Brings keys that a release before kept with their sessions to the log of keys."""
@@ -179,10 +178,12 @@
 
     # dropping
 
-    def expect_expiry(self, name: str, session: str, record: SessionRecord) -> None:
-        """Notes when the keys of a session expire."""
-        for key, known in record.keys.items():
-            self._expiry.add(name, session, key, known)
+    def _expect_expiry(self) -> None:
+        """Notes when the keys that were loaded expire."""
+        for name, group in self.groups.items():
+            for session, record in group.records.items():
+                for key, known in record.keys.items():
+                    self._expiry.add(name, session, key, known)
 
     def _drop_expired(self) -> None:
         self.context.call_later(EXPIRY_INTERVAL_MS, self._drop_expired)
--- a/stagevale/tallies/journal.py
+++ b/stagevale/tallies/journal.py
@@ -39,7 +39,7 @@
     stand there more than once.
     """
 
-    __slots__ = ("context", "_writer", "_unsaved", "_being_saved", "_save_planned", "_oldest_ms")
+    __slots__ = ("context", "_writer", "_unsaved", "_being_saved", "_save_planned")
 
     def __init__(self, context: Context, log: Log) -> None:
         self.context = context
