--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -360,6 +360,7 @@
         self.server = None
         self.tasks = []
         self.beat_target = None
+        self.usual_headers = {}
 
     async def start(self):
         with socket.socket() as free:
@@ -424,7 +425,11 @@
         if path == "/health":
             return _encode(200, {"Instance": self.id}, b"")
         attempt = headers.get("attempt-id", "")
-        own = {"Attempt-Id": attempt, "Server-Load": f"{self.running},0,{self.slots}"}
+        own = {
+            **self.usual_headers,
+            "Attempt-Id": attempt,
+            "Server-Load": f"{self.running},0,{self.slots}",
+        }
         if headers.get("expect-instance", self.id) != self.id:
             return _encode(421, own, b"")
         if self.running >= self.slots:
