Metrics: with how many copies adds to tallies are acknowledged

Three guesses could not be told apart from outside: others not known yet, others known but not counted, a disk that lost what it had synced.

Change: a counter by copies had and wanted, and a log line for the first add with too few.

--- a/stagevale/metrics/metrics.py
+++ b/stagevale/metrics/metrics.py
@@ -74,6 +74,9 @@
 ELECTIONS = CounterOpts("elections", "Steps of elections of this daemon's groups.", "step")
 REFUSALS = CounterOpts("refusals", "Calls and requests that this daemon refused itself.", "reason")
 UNKNOWN_CALLS = CounterOpts("unknown_calls", "Calls of paths that aren't served.", "path")
+TALLY_ADDS = CounterOpts(
+    "tally_adds", "Adds to tallies that were acknowledged, by how many disks had them.", "copies"
+)
 QUEUE_HELP = "How many wait."
 SERIAL_HELP = "The serial of the configuration value that this daemon has."
 AGES_HELP = "Seconds since something befell this daemon's configuration value."
@@ -87,6 +90,7 @@
         elections: begun, lost, won, and leaderships ended, by group.
         refusals: by status and reason.
         unknown_calls: by method and path.
+        tally_adds: acknowledged, by the copies that were had and wanted.
         recovery_s: seconds since the process started, by the step of recovery that was reached
             then for the first time.
         gauges: figures that are read when they are asked for.
@@ -96,6 +100,7 @@
         "elections",
         "refusals",
         "unknown_calls",
+        "tally_adds",
         "recovery_s",
         "gauges",
         "_now_ms",
@@ -111,6 +116,7 @@
         self.elections = LabelledCounter(ELECTIONS)
         self.refusals = LabelledCounter(REFUSALS)
         self.unknown_calls = LabelledCounter(UNKNOWN_CALLS)
+        self.tally_adds = LabelledCounter(TALLY_ADDS)
         self.recovery_s: dict[str, float] = {}
         self.gauges: list[Gauge] = []
         self._now_ms = now_ms
@@ -118,7 +124,7 @@
 
     def counters(self) -> tuple[LabelledCounter, ...]:
         """All counters."""
-        return (self.elections, self.refusals, self.unknown_calls)
+        return (self.elections, self.refusals, self.unknown_calls, self.tally_adds)
 
     def add_queue(self, queue: str, length: Callable[[], int]) -> None:
         """Adds a queue whose length is shown."""
--- a/stagevale/tallies/append_call.py
+++ b/stagevale/tallies/append_call.py
@@ -123,5 +123,22 @@
 
     def _finish(self, success: bool) -> None:
         self._is_done = True
+        if success:
+            self._count_copies()
         self.replica.spread.add_holders(self.logged, self._holders.values())
         self.on_done(success)
+
+    def _count_copies(self) -> None:
+        """Tells operators how far acknowledged adds are spread; fewer copies than are wanted are
+        logged when they first come about.
+        """
+        context = self.replica.context
+        copies = f"{len(self._holders)} of {self.rule.copies}"
+        is_first = context.metrics.tally_adds.increment(copies)
+        if is_first and not self.rule.is_met(self._holders.values()):
+            context.log.warning(
+                "tallies: an add was acknowledged with %s copies; registries known: %d, heard: %d.",
+                copies,
+                len(self.replica.peers()),
+                len(self.replica.in_reach()),
+            )
--- a/stagevale/tallies/replica.py
+++ b/stagevale/tallies/replica.py
@@ -96,7 +96,7 @@
         if self._caught_up or not self.service.is_starting():
             return
         own_region = self.me.region
-        peers = sorted(self._peers(), key=lambda member: member.region != own_region)
+        peers = sorted(self.peers(), key=lambda member: member.region != own_region)
         if not peers:
             self.context.call_later(PULL_TIMEOUT_MS, self._catch_up)
             return
@@ -128,17 +128,18 @@
         """This registry."""
         return self.service.membership.me
 
-    def _peers(self) -> list[Member]:
+    def peers(self) -> list[Member]:
+        """The other registries, heard or not."""
         return [member for member in self.service.registries() if member.address != self.me.address]
 
     def in_reach(self) -> list[Member]:
         """The other registries that were heard a moment ago."""
-        return [member for member in self._peers() if self.service.is_live(member.address)]
+        return [member for member in self.peers() if self.service.is_live(member.address)]
 
     def peers_by_region(self) -> dict[str, list[Member]]:
         """The other registries by region, heard or not."""
         regions: dict[str, list[Member]] = {}
-        for member in self._peers():
+        for member in self.peers():
             regions.setdefault(member.region, []).append(member)
         return regions
 
--- a/tests/test_tallies.py
+++ b/tests/test_tallies.py
@@ -152,6 +152,13 @@
     assert total(fleet, 3) == 5
 
 
+# How far acknowledged adds were spread could not be seen from outside.
+def test_metrics_tell_how_many_copies_acknowledged_adds_had():
+    fleet = formed(110)
+    assert amend(fleet, 0, "a", 4) == 200
+    assert fleet.registries[0].context.metrics.tally_adds.counts == {"3 of 3": 1}
+
+
 @pytest.mark.parametrize(
     "body",
     [
