--- a/stagevale/api/status_page.py
+++ b/stagevale/api/status_page.py
@@ -20,7 +20,7 @@
     now_ms = service.context.now_ms()
     return {
         "registry": service.rpc.address,
-        "inContact": service.reaches_majority(),
+        "inContact": service.contact.reaches_majority(),
         "converged": membership.is_converged(),
         "leader": membership.leader() or "",
         "serial": configuration.serial,
--- a/stagevale/daemons/registry.py
+++ b/stagevale/daemons/registry.py
@@ -91,7 +91,7 @@
     def join_singleton(self, storage: VoteStore[SingletonValue]) -> None:
         """Takes part in the singleton roles; without any in the settings they cost nothing."""
         service = self.service
-        clock = AgreedClock(self.context, service.core_size)
+        clock = AgreedClock(self.context, service.contact.core_size)
         usage = UsageTable(self.context.settings.bounds, lambda: list(service.feeds.subscribers))
         service.agreed_clock, service.usage = clock, usage
         self.singleton = SingletonNode(
--- a/stagevale/discovery/anti_entropy.py
+++ b/stagevale/discovery/anti_entropy.py
@@ -54,7 +54,7 @@
         service = self.service
         if ping.wall_ms is not None and service.agreed_clock is not None:
             service.agreed_clock.record(peer, ping.wall_ms)
-        service.record_ping(peer)
+        service.contact.record_ping(peer)
         service.configuration.compare(peer, ping.serial)
         service.proxies.compare(peer, ping.proxies_checksum)
         if len(ping.checksums) == 1:
--- a/stagevale/discovery/heartbeats.py
+++ b/stagevale/discovery/heartbeats.py
@@ -64,7 +64,7 @@
         known = service.instances.by_id.get(id)
         if known is not None:
             self._take(known.left(self.context.now_ms()), answer)
-        elif service.reaches_majority() and not service.is_starting():
+        elif service.contact.reaches_majority() and not service.contact.is_starting():
             answer(200, {})
         else:
             # Other registries may know it as ready, and would never hear of the leave.
@@ -72,7 +72,7 @@
 
     def _take(self, incoming: Instance, answer: Answer) -> None:
         service = self.service
-        if not service.reaches_majority() and not service.is_starting():
+        if not service.contact.reaches_majority() and not service.contact.is_starting():
             answer(503, {"error": "out of touch with the core"})
             return
         changed = service.instances.merge(incoming, self.context.now_ms())
@@ -99,7 +99,7 @@
         control = self.context.settings.listen.get("control")
         if instance.zone == self.membership.me.zone or control is None:
             return {}
-        for member in self.service.registries():
+        for member in self.service.contact.registries():
             if member.zone == instance.zone and self.membership.is_reachable(member.address):
                 return {"beatTarget": f"{member.machine}:{control[1]}"}
         return {}
@@ -157,7 +157,7 @@
             return
         rows = rows_of(departed, self.context.now_ms())
         message = InstancesMessage(codec.encode_rows(rows), 1)
-        for member in self.service.registries():
+        for member in self.service.contact.registries():
             if member.address != self.rpc.address:
                 self.rpc.send(member.address, MessageKind.INSTANCES, message)
 
@@ -168,7 +168,7 @@
         size = replicas_to_outlive(self.context.settings.tolerance)
         others = [
             member.address
-            for member in self.service.registries()
+            for member in self.service.contact.registries()
             if self.membership.is_reachable(member.address)
         ]
         candidates = dict.fromkeys((*replicas, self.rpc.address, *others))
@@ -197,13 +197,13 @@
         service = self.service
         replicas = service.replicas_of(shard)
         regions = {
-            service.region_of(address)
+            service.contact.region_of(address)
             for address in replicas
             if self.membership.is_reachable(address)
         }
         own_region = self.membership.me.region
         message = InstancesMessage(codec.encode_rows(rows_of(instances, self.context.now_ms())), 1)
-        for member in service.registries():
+        for member in service.contact.registries():
             if member.address in replicas or member.address == self.rpc.address:
                 continue
             if member.region == own_region or (
--- a/stagevale/discovery/proxy_directory.py
+++ b/stagevale/discovery/proxy_directory.py
@@ -73,7 +73,7 @@
         """The fronts for a client of a zone that wants a host: ready ones, near ones first."""
         rows = self.fed_here()
         for registry, fed in self.fed_by.items():
-            if self.service.is_live(registry):
+            if self.service.contact.is_live(registry):
                 rows += fed
         settings = self.context.settings
         ready = {_front_of(row) for row in rows if row.is_ready and row.front}
@@ -116,7 +116,7 @@
             return
         known: dict[str, Any] = {row.address: row for row in self.fed_here()}
         changes = [known.get(proxy, [proxy]) for proxy in sorted(proxies)]
-        for member in self.service.registries():
+        for member in self.service.contact.registries():
             if member.address != self.rpc.address:
                 self.rpc.send(member.address, MessageKind.SUBSCRIBED_PROXIES, changes)
 
--- a/stagevale/discovery/registry_service.py
+++ b/stagevale/discovery/registry_service.py
@@ -1,4 +1,4 @@
-"""A registry's service: wires its parts and keeps what they share: contact, placement, rounds."""
+"""A registry's service: wires its parts and keeps what they share: placement, rounds."""
 
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
@@ -16,31 +16,23 @@
 from stagevale.discovery.proxy_directory import ProxyDirectory
 from stagevale.discovery.shard_ownership import ShardOwnership
 from stagevale.membership.gossip_state import Handoff, HandoffStatus
-from stagevale.membership.member import REGISTRY_PROGRAM, Member, MemberState, machine_of
 from stagevale.membership.membership import Membership
 from stagevale.placement.shards import SHARDS
+from stagevale.reachability.registry_contact import TICK_SHARE, RegistryContact
 from stagevale.rpc import codec
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.transport import Reply, RpcTransport
-from stagevale.runtime.clock import LONG_AGO_MS, MS_PER_S
+from stagevale.runtime.clock import MS_PER_S
 from stagevale.runtime.context import Context
 from stagevale.storage.generations import GenerationFile
 from stagevale.storage.row_log_writer import Log
 from stagevale.tallies.replica import TallyReplica
 
-LIVE_STATES = (MemberState.JOINING, MemberState.UP, MemberState.LEAVING)
-ROUNDS_PER_CONTACT = 4.0
 # In rounds: how soon after the start the first comes, and how far apart the ticks are.
 FIRST_TICK_SHARE = 0.05
 FIRST_VALUE_SHARE = 0.1
-TICK_SHARE = 0.5
 TICK_JITTER = (0.95, 1.05)
-STARTING_ROUNDS = 2
-# In rounds: how old a registry's last ping may be for it to count towards a majority, and for it
-# to count as live; those of other regions ping half as often, since bytes between regions are dear.
-CONTACT_ROUNDS, CONTACT_ROUNDS_FAR = 1.8, 2.6
-LIVE_ROUNDS, LIVE_ROUNDS_FAR = 1.5, 2.3
 # Instances are forgotten so many times `contactMs` after they left, or were last heard.
 GONE_KEPT, SILENT_KEPT = 10, 60
 
@@ -84,7 +76,7 @@
 
     Attributes:
         interval_ms: the length of a round.
-        started_ms: when this daemon started.
+        contact: which registries are in reach.
         stopping: a graceful shutdown has begun.
         hints: what is remembered over a restart; None without a disk.
         departures: drains and leaves on disk; None without a disk.
@@ -99,7 +91,7 @@
         "rpc",
         "membership",
         "interval_ms",
-        "started_ms",
+        "contact",
         "stopping",
         "instances",
         "heartbeats",
@@ -117,7 +109,6 @@
         "singleton",
         "sessions",
         "make_session_replicas",
-        "_last_ping_ms",
         "_ticks",
         "_handoffs_under_way",
     )
@@ -126,8 +117,8 @@
         self.context = context
         self.rpc = rpc
         self.membership = membership
-        self.interval_ms = context.settings.bounds.contact_ms / ROUNDS_PER_CONTACT
-        self.started_ms = context.now_ms()
+        self.contact = RegistryContact(context, membership)
+        self.interval_ms = self.contact.interval_ms
         self.stopping = False
         self.hints: InstanceHints | None = None
         self.departures: Departures | None = None
@@ -137,7 +128,6 @@
         self.singleton: SingletonRole | None = None
         self.sessions: SessionReplicas | None = None
         self.make_session_replicas: Callable[[], SessionReplicas] | None = None
-        self._last_ping_ms: dict[str, float] = {}
         self._ticks = 0
         self._handoffs_under_way: set[tuple[str, str, str]] = set()
         self.instances = InstanceTable()
@@ -179,14 +169,10 @@
 
     def keep_tallies(self, log: Log) -> None:
         """Keeps tallies in a log on disk, and begins from it."""
-        self.tallies = TallyReplica(self, log)
+        self.tallies = TallyReplica(self.context, self.rpc, self.contact, log)
         self.tallies.start()
 
-    # who is there
-
-    def registries(self) -> list[Member]:
-        """The registries that live, or leave, this one included."""
-        return self.membership.members(REGISTRY_PROGRAM, LIVE_STATES)
+    # placement
 
     def replicas_of(self, shard: str) -> tuple[str, ...]:
         """The registries that keep a shard: by the placement table, or the shared seeds before
@@ -198,53 +184,12 @@
         settings = self.context.settings
         return tuple(f"{ip}:{settings.inner_ports[0]}" for ip in settings.seeds)
 
-    def region_of(self, address: str) -> str:
-        """The region of a member; empty where it isn't known."""
-        member = self.membership.state.members.get(address)
-        return member.region if member is not None else ""
-
-    def _core_machines(self) -> set[str]:
-        machines = {member.machine for member in self.registries()}
-        machines.add(self.membership.me.machine)
-        return machines
-
-    def core_size(self) -> int:
-        """How many core machines are thought to live, this one included."""
-        return len(self._core_machines())
-
-    def record_ping(self, peer: str) -> None:
-        """A registry's ping has arrived."""
-        self._last_ping_ms[peer] = self.context.now_ms()
-
-    def reaches_majority(self) -> bool:
-        """True while this registry hears a majority of the core machines, itself included."""
-        machines = self._core_machines()
-        heard = {
-            machine_of(address)
-            for address in self._last_ping_ms
-            if self._pinged_within(address, CONTACT_ROUNDS, CONTACT_ROUNDS_FAR)
-        }
-        heard.add(self.membership.me.machine)
-        return len(heard & machines) * 2 > len(machines)
-
-    def is_live(self, address: str) -> bool:
-        """True for a registry whose last ping is not old."""
-        return self._pinged_within(address, LIVE_ROUNDS, LIVE_ROUNDS_FAR)
-
-    def _pinged_within(self, address: str, rounds: float, rounds_far: float) -> bool:
-        near = self.region_of(address) == self.membership.me.region
-        age_ms = self.context.now_ms() - self._last_ping_ms.get(address, LONG_AGO_MS)
-        return age_ms < self.interval_ms * (rounds if near else rounds_far)
-
-    def is_starting(self) -> bool:
-        """True for a while after the start, when silence of the others says nothing yet."""
-        return self.context.now_ms() - self.started_ms < self.interval_ms * STARTING_ROUNDS
-
     # rounds
 
     def _tick(self) -> None:
         jitter = self.context.random.uniform(*TICK_JITTER)
         self.context.call_later(self.interval_ms * TICK_SHARE * jitter, self._tick)
+        self.contact.look()
         self._ticks += 1
         whole_round = self._ticks % 2 == 1
         now_ms = self.context.now_ms()
@@ -254,7 +199,7 @@
         self.anti_entropy.ping(self._ping_targets(whole_round))
         if whole_round:
             self.heartbeats.report_heartbeats()
-            if self.is_starting():
+            if self.contact.is_starting():
                 self.heartbeats.announce_departures()
             self.shard_ownership.campaign()
             self._start_handoffs()
@@ -267,13 +212,12 @@
         """The registries to ping: those of other regions once a round only."""
         return [
             member.address
-            for member in self.registries()
-            if member.address != self.rpc.address
-            and (whole_round or member.region == self.membership.me.region)
+            for member in self.contact.others()
+            if whole_round or member.region == self.membership.me.region
         ]
 
     def _feed_heartbeat(self) -> FeedHeartbeat:
-        in_contact = self.reaches_majority() or self.is_starting()
+        in_contact = self.contact.reaches_majority() or self.contact.is_starting()
         agreed_ms = self.agreed_clock.now_ms() if self.agreed_clock is not None else None
         return FeedHeartbeat(
             self.configuration.newest_heard,
--- a/stagevale/discovery/shard_ownership.py
+++ b/stagevale/discovery/shard_ownership.py
@@ -106,7 +106,7 @@
         return self._voter.highest(shard).candidate == self._id and shard not in self._owners
 
     def _is_live(self, address: str) -> bool:
-        return self.membership.is_reachable(address) and self.service.is_live(address)
+        return self.membership.is_reachable(address) and self.service.contact.is_live(address)
 
     def _run_for(self, shard: str) -> None:
         replicas = self.service.replicas_of(shard)
@@ -182,9 +182,9 @@
         service = self.service
         now_ms = self.context.now_ms()
         heartbeat_ms = self.context.settings.beat_ms
-        if not service.reaches_majority():
+        if not service.contact.reaches_majority():
             return
-        if now_ms - service.started_ms < heartbeat_ms * START_HEARTBEATS:
+        if now_ms - service.contact.started_ms < heartbeat_ms * START_HEARTBEATS:
             return
         oldest_ms = now_ms - heartbeat_ms * SILENT_HEARTBEATS
         silent = [
--- /dev/null
+++ b/stagevale/reachability/__init__.py
@@ -0,0 +1,1 @@
+"""Who of the other registries is in reach, as far as one of them can know."""
--- a/stagevale/tallies/append_call.py
+++ b/stagevale/tallies/append_call.py
@@ -1,4 +1,4 @@
-"""Bringing one add to as many disks as outlive the tolerance, of those in reach."""
+"""Bringing one add to as many disks as outlive the tolerance, of those that may be in reach."""
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -8,14 +8,14 @@
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 from stagevale.tallies.add import LoggedAdd, to_runs
-from stagevale.tallies.copies import CopyRule, next_holders
+from stagevale.tallies.copies import next_holders, rule_of
 from stagevale.tallies.messages import AppendAdds
 
 if TYPE_CHECKING:
     from stagevale.tallies.replica import TallyReplica
 
 # How long a registry may take before another one is asked beside it, and how often the call looks
-# who is in reach.
+# who may be in reach.
 HEDGE_MS = 200.0
 # Callers go on to another daemon after a second.
 TIMEOUT_MS = 950.0
@@ -24,14 +24,13 @@
 class AppendCall:
     """One add on its way to other disks; the own disk has it.
 
-    Registries that are in reach are waited for, even while they don't reply: only whom nobody has
-    heard for a while is done without.
+    Registries that may be in reach are waited for, even while they don't reply: only one that is
+    known to be silent is done without. One that wasn't heard yet is asked like any other.
     """
 
     __slots__ = (
         "replica",
         "logged",
-        "rule",
         "on_done",
         "_message",
         "_holders",
@@ -44,7 +43,6 @@
         self,
         replica: "TallyReplica",
         logged: LoggedAdd,
-        rule: CopyRule,
         on_done: Callable[[bool], object],
     ) -> None:
         """Makes a call.
@@ -52,12 +50,10 @@
         Args:
             replica: this registry's part in the tallies.
             logged: the add.
-            rule: how far it is to be spread.
             on_done: called once with whether that came about.
         """
         self.replica = replica
         self.logged = logged
-        self.rule = rule
         self.on_done = on_done
         self._message = AppendAdds(codec.encode_rows(to_runs([logged])))
         self._holders: dict[str, Member] = {}
@@ -84,19 +80,19 @@
 
     def _check(self) -> None:
         """Ends the call where there are enough copies, else asks whoever is still to be asked."""
-        in_reach = {member.address: member for member in self.replica.in_reach()}
-        rule = self.rule.within({**in_reach, **self._holders}.values())
+        rule = self.replica.copy_rule(self._holders.values())
         if rule.is_met(self._holders.values()):
             self._finish(True)
             return
+        candidates = {member.address: member for member in self.replica.candidates()}
         now_ms = self.replica.context.now_ms()
         expected = dict(self._holders)
         for address, asked_ms in self._asked.items():
-            if address in in_reach and now_ms - asked_ms < HEDGE_MS:
-                expected[address] = in_reach[address]
+            if address in candidates and now_ms - asked_ms < HEDGE_MS:
+                expected[address] = candidates[address]
         others = [
             member
-            for address, member in in_reach.items()
+            for address, member in candidates.items()
             if address not in self._holders and address not in self._asked
         ]
         for member in next_holders(rule, expected.values(), others, self.replica.me):
@@ -133,12 +129,13 @@
         logged when they first come about.
         """
         context = self.replica.context
-        copies = f"{len(self._holders)} of {self.rule.copies}"
+        wanted = rule_of(context.settings.tolerance)
+        copies = f"{len(self._holders)} of {wanted.copies}"
         is_first = context.metrics.tally_adds.increment(copies)
-        if is_first and not self.rule.is_met(self._holders.values()):
+        if is_first and not wanted.is_met(self._holders.values()):
             context.log.warning(
-                "tallies: an add was acknowledged with %s copies; registries known: %d, heard: %d.",
+                "tallies: an add was acknowledged with %s copies; registries known: %d, silent: %d.",
                 copies,
-                len(self.replica.peers()),
-                len(self.replica.in_reach()),
+                len(self.replica.contact.others()),
+                len(self.replica.contact.others()) - len(self.replica.candidates()),
             )
--- a/stagevale/tallies/replica.py
+++ b/stagevale/tallies/replica.py
@@ -2,26 +2,24 @@
 
 import enum
 import zlib
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
 
 from stagevale.membership.member import Member
+from stagevale.reachability.registry_contact import Contact, RegistryContact
 from stagevale.rpc import codec
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
-from stagevale.rpc.transport import Reply
+from stagevale.rpc.transport import Reply, RpcTransport
+from stagevale.runtime.context import Context
 from stagevale.storage.row_log_writer import Log
 from stagevale.tallies.add import Add, LoggedAdd, Position, from_runs
 from stagevale.tallies.append_call import AppendCall
-from stagevale.tallies.copies import rule_of
+from stagevale.tallies.copies import CopyRule, rule_of
 from stagevale.tallies.journal import LoadedAdds, TallyJournal
 from stagevale.tallies.messages import SAVED, AppendAdds, PullAdds
 from stagevale.tallies.spread import TallySpread
 from stagevale.tallies.state import TallyState
 
-if TYPE_CHECKING:
-    from stagevale.discovery.registry_service import RegistryService
-
 # How long a registry that has just started waits for another one to tell what it missed.
 PULL_TIMEOUT_MS = 300.0
 
@@ -49,9 +47,9 @@
     """
 
     __slots__ = (
-        "service",
         "context",
         "rpc",
+        "contact",
         "state",
         "spread",
         "journal",
@@ -63,10 +61,20 @@
         "_under_way",
     )
 
-    def __init__(self, service: "RegistryService", log: Log) -> None:
-        self.service = service
-        self.context = service.context
-        self.rpc = service.rpc
+    def __init__(
+        self, context: Context, rpc: RpcTransport, contact: RegistryContact, log: Log
+    ) -> None:
+        """Makes a replica that has read nothing yet.
+
+        Args:
+            context: of the daemon.
+            rpc: how the other registries are reached.
+            contact: which of them are in reach.
+            log: the adds on disk.
+        """
+        self.context = context
+        self.rpc = rpc
+        self.contact = contact
         self.state = TallyState()
         self.spread = TallySpread(self)
         self.journal = TallyJournal(self.context, log)
@@ -93,10 +101,10 @@
 
     def _catch_up(self) -> None:
         """Asks one registry after the other until one has told all that it knows."""
-        if self._caught_up or not self.service.is_starting():
+        if self._caught_up or not self.contact.is_starting():
             return
         own_region = self.me.region
-        peers = sorted(self.peers(), key=lambda member: member.region != own_region)
+        peers = sorted(self.contact.others(), key=lambda member: member.region != own_region)
         if not peers:
             self.context.call_later(PULL_TIMEOUT_MS, self._catch_up)
             return
@@ -119,27 +127,37 @@
         """True once the disk was read and another registry has told what came since, or there was
         time for that.
         """
-        return self._loaded and (self._caught_up or not self.service.is_starting())
+        return self._loaded and (self._caught_up or not self.contact.is_starting())
 
     # the other registries
 
     @property
     def me(self) -> Member:
         """This registry."""
-        return self.service.membership.me
+        return self.contact.me
+
+    def candidates(self) -> list[Member]:
+        """The other registries that may be in reach."""
+        contact = self.contact
+        return [each for each in contact.others() if contact.contact(each) != Contact.SILENT]
 
-    def peers(self) -> list[Member]:
-        """The other registries, heard or not."""
-        return [member for member in self.service.registries() if member.address != self.me.address]
+    def copy_rule(self, holders: Iterable[Member]) -> CopyRule:
+        """How far an add is to be spread now: as the tolerance asks for, or as far as all that are
+        not known to be silent can.
 
-    def in_reach(self) -> list[Member]:
-        """The other registries that were heard a moment ago."""
-        return [member for member in self.peers() if self.service.is_live(member.address)]
+        Args:
+            holders: those that have it.
+        """
+        rule = rule_of(self.context.settings.tolerance)
+        if not self.contact.has_listened():
+            return rule
+        members = {member.address: member for member in (*self.candidates(), *holders)}
+        return rule.within(members.values())
 
     def peers_by_region(self) -> dict[str, list[Member]]:
         """The other registries by region, heard or not."""
         regions: dict[str, list[Member]] = {}
-        for member in self.peers():
+        for member in self.contact.others():
             regions.setdefault(member.region, []).append(member)
         return regions
 
@@ -151,14 +169,10 @@
 
         def rank(member: Member) -> tuple[bool, int]:
             weight = zlib.crc32(f"{own_address} {member.address}".encode())
-            return self.service.is_live(member.address), weight
+            return self.contact.is_live(member.address), weight
 
         return max(members, key=rank)
 
-    def region_of(self, address: str) -> str:
-        """The region of a registry."""
-        return self.service.region_of(address)
-
     # callers
 
     def total(self, tally: str) -> int | None:
@@ -193,8 +207,7 @@
         self._bring_to_others(logged)
 
     def _bring_to_others(self, logged: LoggedAdd) -> None:
-        rule = rule_of(self.context.settings.tolerance)
-        AppendCall(self, logged, rule, lambda success: self._on_done(logged.add, success)).start()
+        AppendCall(self, logged, lambda success: self._on_done(logged.add, success)).start()
 
     def _on_done(self, add: Add, success: bool) -> None:
         outcome = AddOutcome.ACKNOWLEDGED if success else AddOutcome.UNKNOWN
@@ -227,5 +240,5 @@
             # Nothing is written before the disk was read.
             return
         adds = from_runs(codec.decode_rows(message.runs))
-        self.receive(adds, peer, self.region_of(peer) != self.me.region)
+        self.receive(adds, peer, self.contact.region_of(peer) != self.me.region)
         self.journal.ensure_saved(adds, lambda: reply(SAVED))
--- a/stagevale/tallies/spread.py
+++ b/stagevale/tallies/spread.py
@@ -138,7 +138,7 @@
     def _on_digest(self, peer: str, digest: TallyDigest, reply: Reply) -> None:
         missing = self.replica.state.missing(digest.complete, self._settled)
         if missing:
-            near = self.replica.region_of(peer) == self.replica.me.region
+            near = self.replica.contact.region_of(peer) == self.replica.me.region
             self._send(peer, missing, near)
         known = self.replica.state.digest()
         if not digest.complete.keys() <= known.keys():
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -21,6 +21,7 @@
 from stagevale.membership.gossip_state import GossipState, Handoff, HandoffStatus, merge_states
 from stagevale.membership.member import Dot, Member, MemberState
 from stagevale.placement.shards import shard_of
+from stagevale.reachability.registry_contact import RegistryContact
 from stagevale.rpc import codec
 from stagevale.rpc.kinds import MessageKind
 
@@ -338,15 +339,15 @@
     counts = {"reaches_majority": 0, "_tick": 0}
 
     def counted(name, method):
-        def call(service):
+        def call(owner):
             counts[name] += 1
-            return method(service)
+            return method(owner)
 
         return call
 
     with monkeypatch.context() as patch:
-        for name in counts:
-            patch.setattr(RegistryService, name, counted(name, getattr(RegistryService, name)))
+        for owner, name in ((RegistryContact, "reaches_majority"), (RegistryService, "_tick")):
+            patch.setattr(owner, name, counted(name, getattr(owner, name)))
         fleet = Fleet(5, proxies)
         registries = fleet.registries.values()
         assert fleet.world.until(lambda: fleet.formed(12 + proxies), 25000)
--- /dev/null
+++ b/tests/test_registry_contact.py
@@ -0,0 +1,113 @@
+"""What a registry promises while it can't know yet who of the others is in reach."""
+
+import pytest
+from support.fleet import Fleet
+from test_tallies import CONTACT_MS, MERGE_MS, amend, insist, total, totals
+
+CORE = 3
+DAEMONS = 2 * CORE
+TOLERANCE_OF_ONE = "\n[tolerance]\nmachines = 1\nzones = 1\nregions = 1\n"
+# How long a restart in order, and the way back of a machine without its disk, may take.
+RESTART_MS = 15000
+BETWEEN_ADDS_MS = 10
+
+
+def formed(seed):
+    fleet = Fleet(seed, 0, TOLERANCE_OF_ONE, core=CORE)
+    assert fleet.world.until(lambda: len(fleet.leaders()) == 1 and fleet.formed(DAEMONS), 25000)
+    # The registries have heard each other since.
+    fleet.world.run(CONTACT_MS)
+    return fleet
+
+
+def restart_in_order(fleet, number):
+    fleet.end_core(number)
+    assert fleet.world.until(lambda: not fleet.running(number), RESTART_MS)
+    fleet.start_core(number, False)
+
+
+def add_until_acknowledged(fleet, number, limit_ms=RESTART_MS):
+    """Sends adds of one to a registry; returns how long it took until one was acknowledged."""
+    began_ms = fleet.world.env.now
+    sent = 0
+    while fleet.world.env.now < began_ms + limit_ms:
+        sent += 1
+        if amend(fleet, number, f"new-{sent}", 1) == 200:
+            return fleet.world.env.now - began_ms
+        fleet.world.run(BETWEEN_ADDS_MS)
+    raise AssertionError("no add was acknowledged")
+
+
+def lose_disk(fleet, number):
+    fleet.kill_core(number)
+    fleet.wipe(number)
+    fleet.world.run(500)
+    fleet.start_core(number, False)
+    fleet.world.run(2 * CONTACT_MS + MERGE_MS)
+
+
+def assert_kept(fleet, acknowledged):
+    seen = totals(fleet, range(CORE))
+    assert None not in seen
+    assert min(seen) >= acknowledged
+
+
+# review/5: an add that a registry acknowledged right after its start was lost with its disk.
+@pytest.mark.parametrize("number", range(CORE))
+def test_an_add_acknowledged_right_after_a_start_outlives_the_disk(number):
+    fleet = formed(210 + number)
+    restart_in_order(fleet, number)
+    add_until_acknowledged(fleet, number)
+    lose_disk(fleet, number)
+    assert_kept(fleet, 1)
+
+
+# The same of a registry whose disk was lost before it started: it knows nobody at first.
+@pytest.mark.parametrize("number", range(CORE))
+def test_an_add_acknowledged_right_after_a_start_without_a_disk_outlives_the_next_loss(number):
+    fleet = formed(220 + number)
+    fleet.kill_core(number)
+    fleet.wipe(number)
+    fleet.world.run(500)
+    fleet.start_core(number, False)
+    add_until_acknowledged(fleet, number)
+    lose_disk(fleet, number)
+    assert_kept(fleet, 1)
+
+
+# The same of a registry whose machine stood still, and what was sent to it meanwhile was dropped:
+# all others seem silent since long.
+@pytest.mark.parametrize("stall_ms", [2500, 4000, 9000])
+def test_an_add_acknowledged_right_after_a_stall_outlives_the_disk(stall_ms):
+    fleet = formed(230)
+    for daemon in (fleet.registries[1], fleet.store_daemons[1]):
+        fleet.world.freeze(daemon.context, stall_ms)
+    fleet.world.cut(["10.0.0.2"], ["10.0.0.1", "10.0.0.3"])
+    fleet.world.run(stall_ms)
+    fleet.world.join()
+    add_until_acknowledged(fleet, 1)
+    lose_disk(fleet, 1)
+    assert_kept(fleet, 1)
+
+
+# All machines lose power: each comes back alone at first, and the disk of one is lost after.
+@pytest.mark.parametrize("number", range(CORE))
+def test_an_add_acknowledged_right_after_all_lost_power_outlives_the_disk(number):
+    fleet = formed(240 + number)
+    fleet.lose_power()
+    add_until_acknowledged(fleet, number)
+    lose_disk(fleet, number)
+    assert_kept(fleet, 1)
+
+
+# A side that is cut off counts on, also at a registry that starts during the cut, once it has
+# listened for long enough.
+def test_a_registry_that_starts_while_it_is_cut_off_counts_within_the_contact_time():
+    fleet = formed(250)
+    insist(fleet, 0, "before", 1)
+    fleet.world.cut(["10.0.0.1"], ["10.0.0.2", "10.0.0.3"])
+    fleet.kill_core(0)
+    fleet.world.run(500)
+    fleet.start_core(0, False)
+    assert add_until_acknowledged(fleet, 0) < 1.5 * CONTACT_MS
+    assert total(fleet, 0) > 1
