Tallies: a registry that has ended isn't taken for cut off

What callers would see: with the others ending in order or killed at one time, adds were acknowledged with one disk, and lost with it.

Change: RegistryContact knows a fourth state, ended: it left in order, or its machine refused a connection since its last ping. Those count towards the copies for eight times contactMs.

Why it works: a cut neither says goodbye nor refuses connections. Within the tolerance the copies are complete without those that have ended.

--- a/stagevale/discovery/registry_service.py
+++ b/stagevale/discovery/registry_service.py
@@ -141,6 +141,7 @@
         self._add_metrics()
         rpc.handle(MessageKind.SHARD_HANDOFF, ShardHandoff, self._on_handoff)
         rpc.handle(MessageKind.USAGE_REPORT, list, self._on_usage_report)
+        rpc.refusal_hooks.append(self.contact.record_refusal)
         membership.add_listener(self._on_membership_changed)
 
     def _add_metrics(self) -> None:
--- a/stagevale/reachability/registry_contact.py
+++ b/stagevale/reachability/registry_contact.py
@@ -9,12 +9,15 @@
 from stagevale.runtime.listening_clock import ListeningClock
 
 LIVE_STATES = (MemberState.JOINING, MemberState.UP, MemberState.LEAVING)
+LEFT_STATES = (MemberState.EXITING, MemberState.REMOVED)
 ROUNDS_PER_CONTACT = 4.0
 # In rounds: how far apart `look` is called.
 TICK_SHARE = 0.5
 STARTING_ROUNDS = 2
 # In rounds: how old a registry's last ping may be for it to count towards a majority, and for it
 # to count as live; those of other regions ping half as often, since bytes between regions are dear.
+# In `contactMs`: for how long a registry whose process has ended is expected back with its disk.
+EXPECTED_BACK_CONTACTS = 8.0
 CONTACT_ROUNDS, CONTACT_ROUNDS_FAR = 1.8, 2.6
 LIVE_ROUNDS, LIVE_ROUNDS_FAR = 1.5, 2.3
 
@@ -26,6 +29,8 @@
     HEARD = enum.auto()
     # It may be there: this registry hasn't listened for long enough to tell.
     UNKNOWN = enum.auto()
+    # Its process has ended, in order or not: that is no cut, and it is expected back.
+    ENDED = enum.auto()
     # Nothing came from it for longer than its pings are apart: it is cut off, or lost.
     SILENT = enum.auto()
 
@@ -34,19 +39,23 @@
     """What was heard of one registry.
 
     Attributes:
-        uid: of the incarnation that is a member; None before one is known.
+        member: its newest incarnation; None before one is known.
         met_ms: since when that incarnation is known, by the listening clock.
         pinged_ms: when the last ping came, by the monotonic clock.
         listened_ms: likewise, by the listening clock; None before the first.
+        refused_ms: when its machine last said that nothing listens there, by the monotonic clock.
+        ended_ms: since when it is known to have ended, by the listening clock; None while it isn't.
     """
 
-    __slots__ = ("uid", "met_ms", "pinged_ms", "listened_ms")
+    __slots__ = ("member", "met_ms", "pinged_ms", "listened_ms", "refused_ms", "ended_ms")
 
     def __init__(self, met_ms: float) -> None:
-        self.uid: int | None = None
+        self.member: Member | None = None
         self.met_ms = met_ms
         self.pinged_ms = LONG_AGO_MS
         self.listened_ms: float | None = None
+        self.refused_ms = LONG_AGO_MS
+        self.ended_ms: float | None = None
 
 
 class RegistryContact:
@@ -72,12 +81,36 @@
         self._clock.look()
         for member in self.others():
             self._meet(member)
+        self._note_orderly_ends()
 
     def record_ping(self, address: str) -> None:
         """A registry's ping has arrived."""
         peer = self._peers.setdefault(address, Peer(self._clock.now_ms()))
         peer.pinged_ms = self.context.now_ms()
         peer.listened_ms = self._clock.now_ms()
+        if peer.member is not None and peer.member.state != MemberState.LEAVING:
+            peer.ended_ms = None
+
+    def record_refusal(self, address: str) -> None:
+        """A machine has said that nothing listens at an address."""
+        peer = self._peers.get(address)
+        if peer is not None:
+            peer.refused_ms = self.context.now_ms()
+            self._note_end(peer)
+
+    def _note_end(self, peer: Peer) -> None:
+        if peer.ended_ms is None:
+            peer.ended_ms = self._clock.now_ms()
+
+    def _note_orderly_ends(self) -> None:
+        """Notes which registries that were leaving have left."""
+        members = self.membership.state.members
+        for peer in self._peers.values():
+            if peer.member is None or peer.member.state != MemberState.LEAVING:
+                continue
+            known = members.get(peer.member.address)
+            if known is None or known.state in LEFT_STATES:
+                self._note_end(peer)
 
     def _meet(self, member: Member) -> Peer:
         """What was heard of a member; an incarnation that is met for the first time may take a
@@ -85,9 +118,10 @@
         """
         now_ms = self._clock.now_ms()
         peer = self._peers.setdefault(member.address, Peer(now_ms))
-        if peer.uid != member.uid:
-            peer.uid = member.uid
+        if peer.member is None or peer.member.uid != member.uid:
             peer.met_ms = now_ms
+            peer.ended_ms = None
+        peer.member = member
         return peer
 
     # who is there
@@ -124,9 +158,11 @@
 
     def contact(self, member: Member) -> Contact:
         """What is known of another registry."""
+        peer = self._meet(member)
+        if self._is_refused(peer):
+            return Contact.ENDED if self._is_expected_back(peer) else Contact.SILENT
         if self.is_live(member.address):
             return Contact.HEARD
-        peer = self._meet(member)
         since_ms, limit_ms = peer.met_ms, self._settling_ms
         if peer.listened_ms is not None and peer.listened_ms >= peer.met_ms:
             since_ms = peer.listened_ms
@@ -134,6 +170,30 @@
         is_silent = self._clock.now_ms() - since_ms >= limit_ms
         return Contact.SILENT if is_silent else Contact.UNKNOWN
 
+    def expected_back(self) -> list[Member]:
+        """The registries whose processes have ended, and whose disks are expected back."""
+        self._note_orderly_ends()
+        live = {member.address for member in self.others()}
+        return [
+            peer.member
+            for peer in self._peers.values()
+            if peer.member is not None
+            and self._is_expected_back(peer)
+            and (peer.member.address not in live or self._is_refused(peer))
+        ]
+
+    def _is_refused(self, peer: Peer) -> bool:
+        """True where a machine refused a connection lately, and no ping has come since."""
+        limit_ms = self.interval_ms * LIVE_ROUNDS_FAR
+        age_ms = self.context.now_ms() - peer.refused_ms
+        return peer.refused_ms > peer.pinged_ms and age_ms < limit_ms
+
+    def _is_expected_back(self, peer: Peer) -> bool:
+        if peer.ended_ms is None:
+            return False
+        limit_ms = self._settling_ms * EXPECTED_BACK_CONTACTS
+        return self._clock.now_ms() - peer.ended_ms < limit_ms
+
     @property
     def _settling_ms(self) -> float:
         """Within this time machines that have just started, or met, are in touch."""
--- a/stagevale/rpc/transport.py
+++ b/stagevale/rpc/transport.py
@@ -59,6 +59,7 @@
     Attributes:
         address: `ip:port` at which this daemon listens for its peers.
         peer_lost_hooks: called with a peer's address when a connection to it has ended.
+        refusal_hooks: called with a peer's address where nothing listens.
     """
 
     __slots__ = (
@@ -70,6 +71,7 @@
         "pending",
         "last_request_id",
         "peer_lost_hooks",
+        "refusal_hooks",
         "silence_ms",
     )
 
@@ -82,6 +84,7 @@
         self.pending: dict[int, PendingRequest] = {}
         self.last_request_id = 0
         self.peer_lost_hooks: list[PeerLostHook] = []
+        self.refusal_hooks: list[PeerLostHook] = []
         self.silence_ms = context.settings.bounds.contact_ms * SILENCE_SHARE
 
     def start(self) -> None:
@@ -299,6 +302,9 @@
         if connection.peer:
             for hook in self.peer_lost_hooks:
                 hook(connection.peer)
+            if isinstance(cause, ConnectionRefusedError):
+                for hook in self.refusal_hooks:
+                    hook(connection.peer)
 
     def close_connections(self, peer: str) -> None:
         """Closes every connection to a peer."""
--- a/stagevale/tallies/replica.py
+++ b/stagevale/tallies/replica.py
@@ -22,6 +22,8 @@
 
 # How long a registry that has just started waits for another one to tell what it missed.
 PULL_TIMEOUT_MS = 300.0
+# Who is asked for a copy of an add.
+ASKED = (Contact.HEARD, Contact.UNKNOWN)
 
 
 class AddOutcome(enum.Enum):
@@ -139,11 +141,11 @@
     def candidates(self) -> list[Member]:
         """The other registries that may be in reach."""
         contact = self.contact
-        return [each for each in contact.others() if contact.contact(each) != Contact.SILENT]
+        return [each for each in contact.others() if contact.contact(each) in ASKED]
 
     def copy_rule(self, holders: Iterable[Member]) -> CopyRule:
-        """How far an add is to be spread now: as the tolerance asks for, or as far as all that are
-        not known to be silent can.
+        """How far an add is to be spread now: as the tolerance asks for, or as far as all can that
+        are not known to be silent. Those whose processes have ended count: that is no cut.
 
         Args:
             holders: those that have it.
@@ -151,7 +153,8 @@
         rule = rule_of(self.context.settings.tolerance)
         if not self.contact.has_listened():
             return rule
-        members = {member.address: member for member in (*self.candidates(), *holders)}
+        expected = self.contact.expected_back()
+        members = {member.address: member for member in (*self.candidates(), *expected, *holders)}
         return rule.within(members.values())
 
     def peers_by_region(self) -> dict[str, list[Member]]:
--- a/tests/test_registry_contact.py
+++ b/tests/test_registry_contact.py
@@ -100,6 +100,45 @@
     assert_kept(fleet, 1)
 
 
+def add_for(fleet, number, time_ms):
+    """Sends adds of one to a registry for a while; returns how many were acknowledged."""
+    end_ms = fleet.world.env.now + time_ms
+    acknowledged = sent = 0
+    while fleet.world.env.now < end_ms:
+        sent += 1
+        acknowledged += amend(fleet, number, f"more-{sent}", 1) == 200
+        fleet.world.run(20 * BETWEEN_ADDS_MS)
+    return acknowledged
+
+
+# The others restart at the same time, in order or not: that is no cut, and one disk may be lost.
+@pytest.mark.parametrize("in_order", [True, False])
+@pytest.mark.parametrize("number", range(CORE))
+def test_adds_acknowledged_while_the_others_restart_outlive_the_disk(number, in_order):
+    fleet = formed(260 + number)
+    others = [other for other in range(CORE) if other != number]
+    for other in others:
+        (fleet.end_core if in_order else fleet.kill_core)(other)
+    assert fleet.world.until(lambda: not any(map(fleet.running, others)), RESTART_MS)
+    acknowledged = add_for(fleet, number, 3 * CONTACT_MS)
+    fleet.kill_core(number)
+    fleet.wipe(number)
+    for each in range(CORE):
+        fleet.start_core(each, False)
+    fleet.world.run(3 * CONTACT_MS + MERGE_MS)
+    assert_kept(fleet, acknowledged)
+    assert add_until_acknowledged(fleet, number) < CONTACT_MS
+
+
+# Machines that are gone for good don't keep adds back for ever.
+def test_adds_are_acknowledged_again_where_the_others_dont_come_back():
+    fleet = formed(270)
+    for other in (1, 2):
+        fleet.end_core(other)
+    assert fleet.world.until(lambda: not any(map(fleet.running, (1, 2))), RESTART_MS)
+    assert add_until_acknowledged(fleet, 0, limit_ms=12 * CONTACT_MS) > 6 * CONTACT_MS
+
+
 # A side that is cut off counts on, also at a registry that starts during the cut, once it has
 # listened for long enough.
 def test_a_registry_that_starts_while_it_is_cut_off_counts_within_the_contact_time():
