Registries: one that starts alone isn't a majority (DRAIN)

What callers would see: a registry that restarts in a cut acknowledged, two rounds later, the leave of an endpoint that it doesn't know and that the others keep as ready; its own clock was the core's agreed time.

Change: until a value confirmed by a majority of the voters was seen in this life, a registry knows no size of the core, reaches no majority and has no agreed time; then the voters count with the members for contactMs.

Why it works: the group is on the stores' disks; a minority of it confirms nothing.

--- a/stagevale/discovery/configuration_client.py
+++ b/stagevale/discovery/configuration_client.py
@@ -9,6 +9,7 @@
 from stagevale.consensus.command_queue import COMMAND_BYTES_PER_MS
 from stagevale.consensus.commands import CommandReply, CommandRequest, ReadValueRequest
 from stagevale.consensus.messages import LeaderHeartbeat
+from stagevale.consensus.voter_id import address_of
 from stagevale.membership.member import STORE_PORT_OFFSET, STORE_PROGRAM
 from stagevale.metrics.recovery import RecoveryStep, record_recovery
 from stagevale.partners.table import NO_PARTNERS, table_of
@@ -196,6 +197,8 @@
 
     def _confirmed(self) -> None:
         """The value held here is the newest that a majority knows."""
+        if self.value is not None:
+            self.service.contact.learn_core(map(address_of, self.value.group))
         self.confirmed_ms = self.context.now_ms()
         record_recovery(self.context, "registry", RecoveryStep.CONFIGURATION_CONFIRMED)
         self.service.feeds.start_waiting()
--- a/stagevale/reachability/registry_contact.py
+++ b/stagevale/reachability/registry_contact.py
@@ -1,6 +1,7 @@
 """What this registry knows of the others: who was heard, who is silent, and who can't be told yet."""
 
 import enum
+from collections.abc import Iterable
 
 from stagevale.membership.member import REGISTRY_PROGRAM, Member, MemberState, machine_of
 from stagevale.membership.membership import Membership
@@ -66,7 +67,15 @@
         started_ms: when this daemon started.
     """
 
-    __slots__ = ("context", "membership", "interval_ms", "started_ms", "_clock", "_peers")
+    __slots__ = (
+        "context",
+        "membership",
+        "interval_ms",
+        "started_ms",
+        "_clock",
+        "_peers",
+        "_voter_machines",
+    )
 
     def __init__(self, context: Context, membership: Membership) -> None:
         self.context = context
@@ -75,6 +84,7 @@
         self.started_ms = context.now_ms()
         self._clock = ListeningClock(context, self.interval_ms * TICK_SHARE)
         self._peers: dict[str, Peer] = {}
+        self._voter_machines: set[str] | None = None
 
     def look(self) -> None:
         """Notes which registries are members now; called twice a round."""
@@ -145,14 +155,32 @@
         member = self.membership.state.members.get(address)
         return member.region if member is not None else ""
 
-    def _core_machines(self) -> set[str]:
+    def learn_core(self, voters: Iterable[str]) -> None:
+        """Takes in who votes on the configuration, by a value that a majority has confirmed.
+
+        Args:
+            voters: their addresses.
+        """
+        if self._voter_machines is None:
+            self._voter_machines = {machine_of(address) for address in voters}
+
+    def _core_machines(self) -> set[str] | None:
+        """The core machines that are thought to live, this one included; None while this registry
+        can't know: who starts alone is not all there is.
+        """
+        if self._voter_machines is None:
+            return None
         machines = {member.machine for member in self.registries()}
         machines.add(self.me.machine)
-        return machines
+        # Gossip may not have told yet of all others.
+        return machines if self.has_listened() else machines | self._voter_machines
 
-    def core_size(self) -> int:
-        """How many core machines are thought to live, this one included."""
-        return len(self._core_machines())
+    def core_size(self) -> int | None:
+        """How many core machines are thought to live, this one included; None while that isn't
+        known.
+        """
+        machines = self._core_machines()
+        return None if machines is None else len(machines)
 
     # who was heard
 
@@ -214,8 +242,12 @@
         return self._pinged_within(address, LIVE_ROUNDS, LIVE_ROUNDS_FAR)
 
     def reaches_majority(self) -> bool:
-        """True while this registry hears a majority of the core machines, itself included."""
+        """True while this registry hears a majority of the core machines, itself included; False
+        until it has been in touch with the core once.
+        """
         machines = self._core_machines()
+        if machines is None:
+            return False
         heard = {
             machine_of(address)
             for address in self._peers
--- a/stagevale/singleton/agreed_clock.py
+++ b/stagevale/singleton/agreed_clock.py
@@ -24,12 +24,13 @@
 
     __slots__ = ("context", "core_size", "_offsets", "_agreed_offset_ms")
 
-    def __init__(self, context: Context, core_size: Callable[[], int]) -> None:
+    def __init__(self, context: Context, core_size: Callable[[], int | None]) -> None:
         """Makes a clock that isn't known yet.
 
         Args:
             context: of the daemon.
-            core_size: how many core machines are thought to live, this one included.
+            core_size: how many core machines are thought to live, this one included; None while
+                that isn't known.
         """
         self.context = context
         self.core_size = core_size
@@ -50,7 +51,8 @@
         oldest_ms = now_ms - round_ms * ROUNDS_KEPT
         offsets = [each.offset_ms for each in self._offsets.values() if each.told_ms > oldest_ms]
         offsets.append(self.context.wall_ms() - now_ms)
-        if len(offsets) * 2 > self.core_size():
+        size = self.core_size()
+        if size is not None and len(offsets) * 2 > size:
             offsets.sort()
             self._agreed_offset_ms = offsets[(len(offsets) - 1) // 2]
         if self._agreed_offset_ms is None:
--- a/tests/test_registry_contact.py
+++ b/tests/test_registry_contact.py
@@ -2,7 +2,10 @@
 
 import pytest
 from support.fleet import Fleet
-from test_tallies import CONTACT_MS, MERGE_MS, amend, insist, total, totals
+from test_tallies import CONTACT_MS, MERGE_MS, amend, call, insist, total, totals
+from test_tallies import formed as formed_of_six
+
+from stagevale.singleton.agreed_clock import AgreedClock
 
 CORE = 3
 DAEMONS = 2 * CORE
@@ -150,3 +153,50 @@
     fleet.start_core(0, False)
     assert add_until_acknowledged(fleet, 0) < 1.5 * CONTACT_MS
     assert total(fleet, 0) > 1
+
+
+def leave(fleet, number, id):
+    """An endpoint says that it leaves; the status of the answer."""
+    answer = call(fleet, number, "POST", f"instances/{id}/leave", b"{}")
+    return answer[0] if answer else None
+
+
+# A registry that starts while it is cut off is a cluster of its own before long. It acknowledged the
+# leave of an endpoint that it doesn't know, which the others never heard of.
+@pytest.mark.parametrize("cut_off", [(0,), (2,), (4,), (1, 4), (2, 5)])
+def test_registries_that_start_while_they_are_cut_off_are_out_of_contact(cut_off):
+    fleet = formed_of_six(280)
+    ips = [f"10.0.0.{number + 1}" for number in range(6)]
+    here = [ips[number] for number in cut_off]
+    fleet.world.cut(here, [ip for ip in ips if ip not in here])
+    for number in cut_off:
+        fleet.kill_core(number)
+    fleet.world.run(500)
+    for number in cut_off:
+        fleet.start_core(number, False)
+    for _ in range(24):
+        fleet.world.run(500)
+        assert {leave(fleet, number, "unknown") for number in cut_off} <= {503, None}
+    contact = fleet.registries[cut_off[0]].service.contact
+    assert not contact.reaches_majority()
+    fleet.world.join()
+    fleet.world.run(3 * CONTACT_MS)
+    assert contact.reaches_majority()
+    assert leave(fleet, cut_off[0], "unknown") == 200
+
+
+# A registry that starts took its own time of day for the core's, since it knew of nobody else.
+def test_a_registry_that_starts_alone_knows_no_size_of_the_core():
+    fleet = formed_of_six(290)
+    fleet.world.cut(["10.0.0.1"], [f"10.0.0.{number}" for number in range(2, 7)])
+    fleet.kill_core(0)
+    fleet.world.run(500)
+    fleet.start_core(0, False)
+    contact = fleet.registries[0].service.contact
+    clock = AgreedClock(fleet.registries[0].context, contact.core_size)
+    for _ in range(24):
+        assert clock.now_ms() is None
+        fleet.world.run(500)
+    fleet.world.join()
+    fleet.world.run(3 * CONTACT_MS)
+    assert contact.core_size() == 6
