Directory: fronts of registries that can't be told yet are named, too

What callers would see: right after a stall a registry's directory named only the fronts that it feeds.

Change: RegistryContact.may_be_live in place of is_live; tallies ask by it, too.

Measured: the new case of tests/test_registry_contact.py fails before, with no front named, and passes here, with test_tallies.py, test_directory.py and test_steering.py.

--- a/stagevale/discovery/proxy_directory.py
+++ b/stagevale/discovery/proxy_directory.py
@@ -73,7 +73,7 @@
         """The fronts for a client of a zone that wants a host: ready ones, near ones first."""
         rows = self.fed_here()
         for registry, fed in self.fed_by.items():
-            if self.service.contact.is_live(registry):
+            if self.service.contact.may_be_live(registry):
                 rows += fed
         settings = self.context.settings
         ready = {_front_of(row) for row in rows if row.is_ready and row.front}
--- a/stagevale/reachability/registry_contact.py
+++ b/stagevale/reachability/registry_contact.py
@@ -36,6 +36,10 @@
     SILENT = enum.auto()
 
 
+# Those from whom a reply may be had.
+MAYBE_LIVE = (Contact.HEARD, Contact.UNKNOWN)
+
+
 class Peer:
     """What was heard of one registry.
 
@@ -241,6 +245,13 @@
         """True for a registry whose last ping is not old."""
         return self._pinged_within(address, LIVE_ROUNDS, LIVE_ROUNDS_FAR)
 
+    def may_be_live(self, address: str) -> bool:
+        """True for a registry that was heard, or of which nothing can be told yet."""
+        member = self.membership.state.members.get(address)
+        if member is None or member.state not in LIVE_STATES:
+            return self.is_live(address)
+        return self.contact(member) in MAYBE_LIVE
+
     def reaches_majority(self) -> bool:
         """True while this registry hears a majority of the core machines, itself included; False
         until it has been in touch with the core once.
--- a/stagevale/tallies/replica.py
+++ b/stagevale/tallies/replica.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from stagevale.membership.member import Member
-from stagevale.reachability.registry_contact import Contact, RegistryContact
+from stagevale.reachability.registry_contact import RegistryContact
 from stagevale.rpc import codec
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
@@ -22,8 +22,6 @@
 
 # How long a registry that has just started waits for another one to tell what it missed.
 PULL_TIMEOUT_MS = 300.0
-# Who is asked for a copy of an add.
-ASKED = (Contact.HEARD, Contact.UNKNOWN)
 
 
 class AddOutcome(enum.Enum):
@@ -141,7 +139,7 @@
     def candidates(self) -> list[Member]:
         """The other registries that may be in reach."""
         contact = self.contact
-        return [each for each in contact.others() if contact.contact(each) in ASKED]
+        return [each for each in contact.others() if contact.may_be_live(each.address)]
 
     def copy_rule(self, holders: Iterable[Member]) -> CopyRule:
         """How far an add is to be spread now: as the tolerance asks for, or as far as all can that
--- a/tests/test_registry_contact.py
+++ b/tests/test_registry_contact.py
@@ -2,6 +2,8 @@
 
 import pytest
 from support.fleet import Fleet
+from test_control import settled_fleet
+from test_registrations import beat_of, heartbeat
 from test_tallies import CONTACT_MS, MERGE_MS, amend, call, insist, total, totals
 from test_tallies import formed as formed_of_six
 
@@ -200,3 +202,26 @@
     fleet.world.join()
     fleet.world.run(3 * CONTACT_MS)
     assert contact.core_size() == 6
+
+
+# The directory of a registry that had stood still named only the fronts that it feeds itself, until
+# the others' pings came.
+def test_the_directory_names_the_same_fronts_right_after_a_stall():
+    fleet = settled_fleet(300, core=CORE, proxies=6, more=TOLERANCE_OF_ONE)
+    registry = fleet.registries[1]
+
+    def named():
+        return sorted(registry.service.proxies.resolve("a1", "a", "").fronts)
+
+    assert fleet.world.until(lambda: fleet.formed(DAEMONS + 6), 25000)
+    assert heartbeat(fleet, 0, "i-1", beat_of("i-1")) == 200
+    assert fleet.world.until(named, 5000)
+    fleet.world.run(2 * CONTACT_MS)
+    before = named()
+    assert not set(before) <= {row.front for row in registry.service.proxies.fed_here()}
+    fleet.world.freeze(registry.context, 3000)
+    fleet.world.cut(["10.0.0.2"], ["10.0.0.1", "10.0.0.3"])
+    fleet.world.run(3000)
+    fleet.world.join()
+    fleet.world.run(1)
+    assert named() == before
