--- a/stagevale/sessions/idempotency.py
+++ b/stagevale/sessions/idempotency.py
@@ -170,9 +170,7 @@
         if request.answer is not None:
             self.finish_unanswered(request, None)
             return
-        lease = self.leases.held.get(reservation.session)
-        if lease is not None:
-            lease.record.merge(record)
+        self.leases.learn(reservation.session, reservation.key, record)
         known = record.keys.get(reservation.key)
         look_ms = self.context.settings.bounds.contact_ms * LOOK_SHARE
         least_left_ms = look_ms + self.client.timeout_ms() * LAST_LOOK_TIMEOUTS
--- a/stagevale/sessions/session_leases.py
+++ b/stagevale/sessions/session_leases.py
@@ -20,20 +20,27 @@
 
 
 class SessionLease:
-    """A session that this proxy holds; its record has the keys that are at work here, and no others."""
+    """A session that this proxy holds; its record has the keys that are at work here, and no others.
 
-    __slots__ = ("group", "group_version", "record", "_last_sequence")
+    Attributes:
+        group, group_version: of the group that granted it.
+        version: under which it was granted; what others acquire later never changes it.
+        record: what is known of the session.
+    """
+
+    __slots__ = ("group", "group_version", "version", "record", "_last_sequence")
 
     def __init__(self, group: str, group_version: int, record: SessionRecord) -> None:
         self.group = group
         self.group_version = group_version
+        self.version = record.lease
         self.record = record
         self._last_sequence = 0
 
     def next_attempt(self) -> AttemptId:
         """An attempt under this lease; no two are alike."""
         self._last_sequence += 1
-        return AttemptId(*self.record.lease, self._last_sequence)
+        return AttemptId(*self.version, self._last_sequence)
 
 
 class Waiter(NamedTuple):
@@ -103,6 +110,23 @@
         if self.held.get(session) is lease:
             del self.held[session]
 
+    def learn(self, session: str, key: str, record: SessionRecord) -> None:
+        """Takes in what the group knows of a key. Where it knows a higher lease, another proxy has
+        acquired the session: this one's is held no more.
+
+        Args:
+            session: its name.
+            key: the key that was looked up.
+            record: what was read.
+        """
+        lease = self.held.get(session)
+        if lease is None:
+            return
+        if record.lease > lease.version:
+            self.drop(session, lease)
+        elif key in record.keys:
+            lease.record.merge_key(key, record.keys[key])
+
     def _acquire(self, session: str, group_name: str, number: int, until_ms: float) -> None:
         own_id = self.client.own_id()
         group = self.client.group(group_name)
@@ -180,7 +204,7 @@
         rows: dict[str, list[SuccessorRow]] = {}
         for number, (session, lease) in enumerate(self.held.items()):
             successor = successors[number % len(successors)].address
-            row = SuccessorRow(session, lease.group, lease.record.lease.number)
+            row = SuccessorRow(session, lease.group, lease.version.number)
             rows.setdefault(successor, []).append(row)
         for successor, sessions in rows.items():
             self.client.rpc.send(successor, MessageKind.SESSION_SUCCESSOR, sessions)
