--- a/stagevale/sessions/group_manager.py
+++ b/stagevale/sessions/group_manager.py
@@ -10,6 +10,7 @@
 from stagevale.quorum.call import majority
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
+from stagevale.rpc.message import message_body
 from stagevale.sessions.groups import group_names, next_groups
 from stagevale.sessions.messages import SyncRequest
 from stagevale.settings.settings import replicas_to_outlive
@@ -97,7 +98,7 @@
             node.rpc.request(
                 peer,
                 MessageKind.SESSION_SYNC_STATUS,
-                SyncRequest(name, group.version),
+                message_body(SyncRequest(name, group.version)),
                 int,
                 functools.partial(replied, peer),
                 node.request_timeout_ms,
--- a/stagevale/sessions/messages.py
+++ b/stagevale/sessions/messages.py
@@ -7,6 +7,8 @@
 import enum
 from typing import Any, NamedTuple
 
+from stagevale.sessions.record_pages import PageCursor
+
 
 class ReplyCode(enum.IntEnum):
     """How a replica replies to a request about a session."""
@@ -114,23 +116,39 @@
 
 
 class SyncRequest(NamedTuple):
-    """A registry asks for all records of a group, or whether they have been learned."""
+    """A registry asks for records of a group, or whether they have been learned.
+
+    Attributes:
+        first_session, after_key: a `PageCursor`: where the page begins that is wanted; None where
+            all records are, as releases before ask.
+    """
 
     group: str
     group_version: int
+    first_session: int | None = None
+    after_key: str | None = None
 
 
 class SyncReply(NamedTuple):
-    """The records of a group.
+    """The records of a group, or a page of them.
 
     Attributes:
         learned_version: the version of the group whose records are complete here; negative for
             none.
         records: fields of records by session.
+        next_session, next_key: where the next page begins; None where there is none.
     """
 
     learned_version: int
     records: dict[str, Any]
+    next_session: int | None = None
+    next_key: str | None = None
+
+    def following(self) -> PageCursor | None:
+        """Where the next page begins; None where there is none."""
+        if self.next_session is None:
+            return None
+        return PageCursor(self.next_session, self.next_key or "")
 
 
 class SuccessorRow(NamedTuple):
--- a/stagevale/sessions/replica.py
+++ b/stagevale/sessions/replica.py
@@ -3,7 +3,7 @@
 """
 
 import functools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from stagevale.configuration.value import SessionGroup
@@ -13,7 +13,7 @@
 from stagevale.runtime.context import Context
 from stagevale.sessions.group_replica import GroupReplica
 from stagevale.sessions.groups import NEW_GROUP
-from stagevale.sessions.learn_call import LearnCall
+from stagevale.sessions.learn_call import SYNC_RETRY_SHARE, LearnCall, PageTurns
 from stagevale.sessions.messages import (
     AcquireRequest,
     FindSessionsReply,
@@ -26,6 +26,7 @@
     SyncReply,
     SyncRequest,
 )
+from stagevale.sessions.record_pages import PageCursor, page_of
 from stagevale.sessions.records import (
     AttemptId,
     KeyRecord,
@@ -36,8 +37,6 @@
 from stagevale.sessions.session_store import SessionStore
 from stagevale.storage.row_log_writer import Log
 
-# How soon to ask again for records that no majority has handed over, as a share of `contactMs`.
-SYNC_RETRY_SHARE = 0.1
 NOT_A_REPLICA = SessionReply(ReplyCode.NOT_A_REPLICA)
 
 
@@ -52,9 +51,19 @@
     Attributes:
         groups: by name.
         counts: for the tools.
+        page_turns: who may ask for a further page of records.
     """
 
-    __slots__ = ("context", "rpc", "groups", "counts", "_store", "_loaded", "_newest_groups")
+    __slots__ = (
+        "context",
+        "rpc",
+        "groups",
+        "counts",
+        "page_turns",
+        "_store",
+        "_loaded",
+        "_newest_groups",
+    )
 
     def __init__(self, context: Context, rpc: RpcTransport, log: Log, key_log: Log) -> None:
         """Makes a replica, which reads its disk first.
@@ -70,6 +79,7 @@
         self.groups: dict[str, GroupReplica] = {}
         self.counts = {"taken": 0, "handedOver": 0, "noted": 0}
         self._store = SessionStore(context, log, key_log, self.groups)
+        self.page_turns = PageTurns(context)
         self._loaded = False
         self._newest_groups: Mapping[str, SessionGroup] = {}
         kind = MessageKind
@@ -117,28 +127,51 @@
         if group.learning or group.learned_version >= group.version or not self._is_member(group):
             return
         if group.former_members == NEW_GROUP:
-            self._on_learned(name, group.version, [])
+            self.finish_learning(name, group.version)
             return
         group.learning = True
         LearnCall(self, name, group).start()
 
+    def wants_to_learn(self, name: str, version: int) -> bool:
+        """True while this version of a group is the newest, and this registry a member."""
+        group = self.groups[name]
+        return group.version == version and self._is_member(group)
+
     def retry_learning(self, name: str) -> None:
-        """No majority has handed its records over: asks again after a while."""
+        """The group has changed while it was learned: it is learned anew after a while."""
         self.groups[name].learning = False
         contact_ms = self.context.settings.bounds.contact_ms
         self.context.call_later(contact_ms * SYNC_RETRY_SHARE, self._learn, name)
 
-    def finish_learning(self, name: str, version: int, replies: list[Mapping[str, Any]]) -> None:
-        """A majority has handed its records over."""
-        self.groups[name].learning = False
-        self._on_learned(name, version, replies)
+    def take_page(
+        self, name: str, records: Mapping[str, Any], on_saved: Callable[[], object]
+    ) -> None:
+        """Takes in records of a group that another member has; what is new is saved.
 
-    def _on_learned(self, name: str, version: int, replies: list[Mapping[str, Any]]) -> None:
+        Args:
+            name: of the group.
+            records: fields of records by session.
+            on_saved: called once all of it is on disk.
+        """
         group = self.groups[name]
         now_ms = self.context.now_ms()
-        for records in replies:
-            for session, fields in records.items():
-                group.record_of(session).merge(SessionRecord.from_fields(fields, now_ms))
+        changed: dict[str, SessionRecord] = {}
+        for session, fields in records.items():
+            incoming = SessionRecord.from_fields(fields, now_ms)
+            record = group.record_of(session)
+            new_keys = {
+                key: known
+                for key, known in incoming.keys.items()
+                if key not in record.keys or known.goes_over(record.keys[key])
+            }
+            record.merge(incoming)
+            changed[session] = SessionRecord(record.lease, record.endpoints, new_keys)
+        self._store.save_all(name, changed, on_saved)
+
+    def finish_learning(self, name: str, version: int) -> None:
+        """A majority has handed its records over, and they are on disk."""
+        group = self.groups[name]
+        group.learning = False
 
         def learned() -> None:
             if group.version == version:
@@ -150,10 +183,7 @@
                     len(group.records),
                 )
 
-        def saved() -> None:
-            self._store.save_group(name, version, group.sealed_version, learned)
-
-        self._store.save_all(name, group.records, saved)
+        self._store.save_group(name, version, group.sealed_version, learned)
 
     def _on_sync(self, peer: str, request: SyncRequest, reply: Reply) -> None:
         """A member of a later group asks: what is written here is handed over, and nothing more is
@@ -161,15 +191,11 @@
         """
         group = self.groups.get(request.group)
         if group is None or not self._loaded:
-            reply(SyncReply(-1, {}))
+            reply(message_body(SyncReply(-1, {})))
             return
-        now_ms = self.context.now_ms()
 
         def answer() -> None:
-            records = {
-                session: record.to_fields(now_ms) for session, record in group.records.items()
-            }
-            reply(SyncReply(group.learned_version, records))
+            reply(message_body(self._sync_reply(group, request)))
 
         version = request.group_version
         if version > group.version and version > group.sealed_version:
@@ -178,6 +204,19 @@
         else:
             answer()
 
+    def _sync_reply(self, group: GroupReplica, request: SyncRequest) -> SyncReply:
+        """The page that is asked for, or all records for a release that knows no pages."""
+        now_ms = self.context.now_ms()
+        if request.first_session is None:
+            records = {
+                session: record.to_fields(now_ms) for session, record in group.records.items()
+            }
+            return SyncReply(group.learned_version, records)
+        cursor = PageCursor(request.first_session, request.after_key or "")
+        page = page_of(group.records, cursor, now_ms)
+        following = page.following or (None, None)
+        return SyncReply(group.learned_version, page.records, *following)
+
     def _on_sync_status(self, peer: str, request: SyncRequest, reply: Reply) -> None:
         group = self.groups.get(request.group)
         learned = group is not None and group.learned_version >= request.group_version
