Sessions: one group after the other is learned, not a page of each in turn

Change: further pages are asked for by group, the first by name; a comment of RegistryContact stands beside its constants again.

--- a/stagevale/reachability/registry_contact.py
+++ b/stagevale/reachability/registry_contact.py
@@ -15,10 +15,10 @@
 # In rounds: how far apart `look` is called.
 TICK_SHARE = 0.5
 STARTING_ROUNDS = 2
-# In rounds: how old a registry's last ping may be for it to count towards a majority, and for it
-# to count as live; those of other regions ping half as often, since bytes between regions are dear.
 # In `contactMs`: for how long a registry whose process has ended is expected back with its disk.
 EXPECTED_BACK_CONTACTS = 8.0
+# In rounds: how old a registry's last ping may be for it to count towards a majority, and for it
+# to count as live; those of other regions ping half as often, since bytes between regions are dear.
 CONTACT_ROUNDS, CONTACT_ROUNDS_FAR = 1.8, 2.6
 LIVE_ROUNDS, LIVE_ROUNDS_FAR = 1.5, 2.3
 
--- a/stagevale/sessions/learn_call.py
+++ b/stagevale/sessions/learn_call.py
@@ -1,9 +1,9 @@
 """How a member of a session group learns its records: page by page, from a majority."""
 
 import functools
-from collections import deque
+import heapq
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from stagevale.quorum.call import majority
 from stagevale.rpc.errors import ConnectionLostError, RequestError
@@ -26,28 +26,39 @@
 PAUSE_FACTOR = 1.0
 
 
+class WaitingTurn(NamedTuple):
+    """A request for a further page that waits; compared by group, then by who came first."""
+
+    group: str
+    number: int
+    ask: Callable[[], object]
+
+
 class PageTurns:
-    """Who of those that learn here may ask for a further page: one at a time.
+    """Which of the groups that are learned here may ask for a further page: one at a time, the first
+    by name, so that one group after the other is complete.
 
     First pages don't wait: most groups have no others.
     """
 
-    __slots__ = ("context", "_waiting", "_began_ms")
+    __slots__ = ("context", "_waiting", "_count", "_began_ms")
 
     def __init__(self, context: Context) -> None:
         self.context = context
-        self._waiting: deque[Callable[[], object]] = deque()
+        self._waiting: list[WaitingTurn] = []
+        self._count = 0
         self._began_ms: float | None = None
 
-    def take(self, ask: Callable[[], object]) -> None:
-        """Calls `ask()` when it is this one's turn; it ends the turn with `end`."""
-        self._waiting.append(ask)
+    def take(self, group: str, ask: Callable[[], object]) -> None:
+        """Calls `ask()` when it is this group's turn; it ends the turn with `end`."""
+        self._count += 1
+        heapq.heappush(self._waiting, WaitingTurn(group, self._count, ask))
         self._next()
 
     def _next(self) -> None:
         if self._began_ms is None and self._waiting:
             self._began_ms = self.context.now_ms()
-            self._waiting.popleft()()
+            heapq.heappop(self._waiting).ask()
 
     def end(self) -> None:
         """The page has come, or was given up."""
@@ -131,7 +142,7 @@
         if self._end_if_outdated():
             return
         if following is not None:
-            self.replica.page_turns.take(lambda: self._ask(peer, following, True))
+            self.replica.page_turns.take(self.name, lambda: self._ask(peer, following, True))
             return
         self._complete.add(peer)
         self._end_if_complete()
@@ -143,7 +154,7 @@
             context.call_later(pause_ms, self._ask, peer, cursor, paged)
             return
         turns = self.replica.page_turns
-        context.call_later(pause_ms, turns.take, lambda: self._ask(peer, cursor, paged))
+        context.call_later(pause_ms, turns.take, self.name, lambda: self._ask(peer, cursor, paged))
 
     def _end_turn(self, cursor: PageCursor) -> None:
         if cursor != FIRST_PAGE:
