--- a/stagevale/tallies/replica.py
+++ b/stagevale/tallies/replica.py
@@ -195,18 +195,36 @@
         if known is not None:
             self.journal.ensure_saved([known], lambda: self._bring_to_others(known))
             return
+        logged = self._next_in_log(add)
+        self.journal.save_later([logged])
+        self.journal.ensure_saved([logged], lambda: self._on_accepted(logged))
+
+    def _next_in_log(self, add: Add) -> LoggedAdd:
+        """The add under the next number of this disk."""
         if not self._origin:
             self._origin = self.journal.draw_origin()
         self._last_number += 1
-        logged = LoggedAdd(Position(self._origin, self._last_number), add)
-        self.journal.save_later([logged])
-        self.journal.ensure_saved([logged], lambda: self._on_accepted(logged))
+        return LoggedAdd(Position(self._origin, self._last_number), add)
 
     def _on_accepted(self, logged: LoggedAdd) -> None:
         self.state.merge(logged)
         self.spread.publish([logged], None, True)
         self._bring_to_others(logged)
 
+    def accept_anew(self, adds: Iterable[Add]) -> None:
+        """Gives adds that other disks accepted a number of this one, too, and tells the others."""
+        logged = [self._next_in_log(add) for add in adds]
+        if not logged:
+            return
+
+        def saved() -> None:
+            for each in logged:
+                self.state.merge(each)
+            self.spread.publish(logged, None, True)
+
+        self.journal.save_later(logged)
+        self.journal.ensure_saved(logged, saved)
+
     def _bring_to_others(self, logged: LoggedAdd) -> None:
         AppendCall(self, logged, lambda success: self._on_done(logged.add, success)).start()
 
--- a/stagevale/tallies/spread.py
+++ b/stagevale/tallies/spread.py
@@ -45,10 +45,11 @@
 
     A new add goes to each registry of its region and to one of each other region, which passes it
     on. What gets lost that way, or waits behind a partition, is found by digests: a registry that
-    receives one sends what the other lacks.
+    receives one sends what the other lacks. An add behind a gap that doesn't close, since its origin
+    lost its disk, is in no digest: whoever has it accepts it anew under its own origin.
     """
 
-    __slots__ = ("replica", "context", "rpc", "_new", "_settled", "_digest")
+    __slots__ = ("replica", "context", "rpc", "_new", "_settled", "_digest", "_detached")
 
     def __init__(self, replica: "TallyReplica") -> None:
         self.replica = replica
@@ -58,6 +59,8 @@
         # What was known one and two digests ago; what is newer may be on its way.
         self._settled: dict[str, int] = {}
         self._digest: dict[str, int] = {}
+        # The adds that were behind gaps one digest ago.
+        self._detached: set[Position] = set()
         self.rpc.handle(MessageKind.TALLY_ADDS, NewAdds, self._on_adds)
         self.rpc.handle(MessageKind.TALLY_DIGEST, TallyDigest, self._on_digest)
         self.rpc.handle(MessageKind.TALLY_PULL, PullAdds, self._on_pull)
@@ -125,6 +128,7 @@
     def _send_digests(self) -> None:
         """Tells the region's registries, and one of each other region, what is known here."""
         self.context.call_later(self._merge_ms() * DIGEST_SHARE, self._send_digests)
+        self._readopt_detached()
         self._settled, self._digest = self._digest, self.replica.state.digest()
         if not self._digest:
             return
@@ -135,6 +139,12 @@
             for member in told:
                 self.rpc.send(member.address, MessageKind.TALLY_DIGEST, message)
 
+    def _readopt_detached(self) -> None:
+        """Accepts adds anew that are behind a gap for longer than it takes to close one."""
+        detached = self.replica.state.detached()
+        self.replica.accept_anew([each.add for each in detached if each.position in self._detached])
+        self._detached = {each.position for each in detached}
+
     def _on_digest(self, peer: str, digest: TallyDigest, reply: Reply) -> None:
         missing = self.replica.state.missing(digest.complete, self._settled)
         if missing:
--- a/stagevale/tallies/state.py
+++ b/stagevale/tallies/state.py
@@ -10,21 +10,25 @@
     """The adds of one origin.
 
     Attributes:
-        adds: by number; there may be gaps above `complete`.
+        adds: by number.
         complete: all adds up to this number are known.
+        detached: numbers of adds behind a gap: digests don't tell of them.
     """
 
-    __slots__ = ("adds", "complete")
+    __slots__ = ("adds", "complete", "detached")
 
     def __init__(self) -> None:
         self.adds: dict[int, Add] = {}
         self.complete = 0
+        self.detached: set[int] = set()
 
     def record(self, number: int, add: Add) -> None:
         """Takes in an add that isn't known."""
         self.adds[number] = add
-        while self.complete + 1 in self.adds:
+        self.detached.add(number)
+        while self.complete + 1 in self.detached:
             self.complete += 1
+            self.detached.remove(self.complete)
 
 
 class KnownAdd(NamedTuple):
@@ -67,8 +71,27 @@
         elif add.amount > known.amount:
             adds[add.id] = KnownAdd(add.amount, position)
             self.totals[add.tally] += add.amount - known.amount
+        elif add.amount == known.amount and self._is_detached(known.position):
+            adds[add.id] = KnownAdd(add.amount, position)
         return True
 
+    def _is_detached(self, position: Position) -> bool:
+        return position.number in self.origins[position.origin].detached
+
+    def detached(self) -> list[LoggedAdd]:
+        """The adds behind gaps that no other origin is known to have as well."""
+        found = (
+            LoggedAdd(Position(name, number), origin.adds[number])
+            for name, origin in self.origins.items()
+            for number in origin.detached
+        )
+        return [logged for logged in found if self._counts(logged)]
+
+    def _counts(self, logged: LoggedAdd) -> bool:
+        """True where an add is the one that counts of all with its tally and id."""
+        known = self._known[logged.add.tally][logged.add.id]
+        return known.position == logged.position
+
     def find(self, add: Add) -> LoggedAdd | None:
         """The add with this one's tally and id, or None."""
         known = self._known.get(add.tally, {}).get(add.id)
--- a/tests/test_tallies.py
+++ b/tests/test_tallies.py
@@ -6,6 +6,8 @@
 from support.fleet import Fleet
 
 from stagevale.api.router import Call
+from stagevale.tallies.add import Add, LoggedAdd, Position
+from stagevale.tallies.state import TallyState
 
 MERGE_MS = 3000
 CONTACT_MS = 4000
@@ -152,6 +154,50 @@
     assert total(fleet, 3) == 5
 
 
+def logged(origin, number, id="a", amount=1):
+    return LoggedAdd(Position(origin, number), Add("t1", id, amount))
+
+
+def add_behind_a_gap(fleet, holder):
+    """An add that one registry alone has, of a disk that is gone with the add before it."""
+    fleet.registries[holder].service.tallies.receive([logged("gone", 2, "behind", 7)], "", False)
+
+
+# review/5: the disk that had the number before was lost, too, and no digest told of what came after.
+@pytest.mark.parametrize("holder", [0, 3, 5])
+def test_an_add_behind_a_gap_reaches_all_within_the_merge_time(holder):
+    fleet = formed(111)
+    assert amend(fleet, 1, "b", 5) == 200
+    fleet.world.run(MERGE_MS)
+    add_behind_a_gap(fleet, holder)
+    fleet.world.run(MERGE_MS)
+    assert totals(fleet) == {12}
+
+
+# What is accepted anew once isn't accepted anew at each start, nor by all that come to know it.
+def test_an_add_behind_a_gap_is_accepted_anew_once():
+    fleet = formed(112)
+    add_behind_a_gap(fleet, 0)
+    fleet.world.run(3 * MERGE_MS)
+    for _ in range(2):
+        fleet.kill_core(0)
+        fleet.world.run(300)
+        fleet.start_core(0, False)
+        fleet.world.run(CONTACT_MS + 2 * MERGE_MS)
+    origins = fleet.registries[1].service.tallies.state.origins
+    assert sum(len(origin.adds) for name, origin in origins.items() if name != "gone") == 1
+    assert totals(fleet) == {7}
+
+
+# Adds that come in another order than they were numbered are not behind a gap for long.
+def test_adds_that_overtake_each_other_close_their_gaps():
+    state = TallyState()
+    for number in (3, 1, 4, 2):
+        state.merge(logged("one", number, f"id-{number}"))
+    assert state.digest() == {"one": 4}
+    assert state.detached() == []
+
+
 # How far acknowledged adds were spread could not be seen from outside.
 def test_metrics_tell_how_many_copies_acknowledged_adds_had():
     fleet = formed(110)
