--- a/stagevale/api/session_view.py
+++ b/stagevale/api/session_view.py
@@ -16,7 +16,7 @@
 from stagevale.sessions.groups import group_name, homes_of
 from stagevale.sessions.messages import FindSessionsReply, FindSessionsRequest, ReplyCode
 from stagevale.sessions.records import SessionRecord
-from stagevale.sessions.session_id import read_session_id
+from stagevale.sessions.session_id import read_session_id, without_route
 
 
 def _address_of(holder: str) -> str:
@@ -109,12 +109,13 @@
 
     def _merged(self, replies: Iterable[dict[str, Any]]) -> dict[str, SessionRecord]:
         """What the members have together, by encoded identity."""
-        replies = list(replies)
-        records = {id: SessionRecord() for id in sorted({id for reply in replies for id in reply})}
+        records: dict[str, SessionRecord] = {}
         now_ms = self.service.context.now_ms()
-        for id, record in records.items():
-            record.merge_replies((reply.get(id) for reply in replies), now_ms)
-        return records
+        for reply in replies:
+            for encoded, fields in reply.items():
+                record = records.setdefault(without_route(encoded), SessionRecord())
+                record.merge_replies([fields], now_ms)
+        return dict(sorted(records.items()))
 
     def _row(self, group: str, encoded: str, record: SessionRecord) -> dict[str, Any]:
         now_ms = self.service.context.now_ms()
@@ -123,7 +124,6 @@
             "group": group,
             "tenant": id.tenant,
             "host": id.host,
-            "route": id.route,
             "version": record.lease.number,
             "holder": _address_of(record.lease.holder),
             "endpoints": record.endpoints,
--- a/stagevale/commands/sessions.py
+++ b/stagevale/commands/sessions.py
@@ -45,10 +45,10 @@
 
 
 def _scope(record: dict[str, Any]) -> str:
-    if not record.get("route"):
+    if not record["host"]:
         return "a record of an earlier release, which doesn't say whose it is"
     tenant = f"tenant {record['tenant']}" if record["tenant"] else "no tenant"
-    return f"{tenant}, host {record['host']}, route {record['route']}"
+    return f"{tenant}, host {record['host']}"
 
 
 def _print_record(record: dict[str, Any]) -> None:
--- a/stagevale/sessions/key_reservation.py
+++ b/stagevale/sessions/key_reservation.py
@@ -49,7 +49,7 @@
 
     @property
     def id(self) -> tuple[str, str]:
-        """Session and key, within the session's tenant, host and route."""
+        """Session and key, within the session's tenant and host."""
         return self.session, self.key
 
 
--- a/stagevale/sessions/messages.py
+++ b/stagevale/sessions/messages.py
@@ -82,7 +82,7 @@
 
 
 class FindSessionsRequest(NamedTuple):
-    """Asks for all sessions of a group that bear a name, whatever their tenant, host and route."""
+    """Asks for all sessions of a group that bear a name, whatever their tenant and host."""
 
     group: str
     group_version: int
--- a/stagevale/sessions/proxy_sessions.py
+++ b/stagevale/sessions/proxy_sessions.py
@@ -63,7 +63,7 @@
             return ""
         tenant = request.tenant.name if request.tenant is not None else ""
         name = headers.session.decode("latin-1")
-        request.session = SessionId(name, tenant, request.host, route.name)
+        request.session = SessionId(name, tenant, request.host)
         session = request.session.encode()
         group = group_name(route.homes, headers.session)
         if route.pure:
--- a/stagevale/sessions/records.py
+++ b/stagevale/sessions/records.py
@@ -101,8 +101,9 @@
 
         At most one attempt runs. What is said of one attempt is told apart by its state; an answer
         goes over other attempts, and one that didn't run says nothing of another that may have.
+        Attempts of releases up to 4dd6197 are numbered by route, so that two may bear one number.
         """
-        if self.attempt == known.attempt:
+        if self.attempt == known.attempt and self.fingerprint == known.fingerprint:
             return self.state > known.state
         if known.state == KeyState.ANSWERED or self.state == KeyState.ANSWERED:
             return known.state != KeyState.ANSWERED or (
@@ -205,13 +206,9 @@
             if fields is not None:
                 self.merge(SessionRecord.from_fields(fields, now_ms))
 
-    def replace(self, other: "SessionRecord") -> None:
-        """Becomes what a later row of the log says."""
-        self.lease, self.endpoints, self.keys = other.lease, other.endpoints, other.keys
-
     def merge(self, other: "SessionRecord") -> None:
-        """Takes in what another replica of the record knows."""
-        if other.lease > self.lease:
+        """Takes in what another replica, or a later row of the log, knows of the session."""
+        if other.lease >= self.lease:
             self.lease = other.lease
             self.endpoints = {**self.endpoints, **other.endpoints}
         else:
--- a/stagevale/sessions/replica.py
+++ b/stagevale/sessions/replica.py
@@ -34,6 +34,7 @@
     LeaseVersion,
     SessionRecord,
 )
+from stagevale.sessions.session_id import without_route
 from stagevale.sessions.session_store import SessionStore
 from stagevale.storage.row_log_writer import Log
 
@@ -156,7 +157,8 @@
         group = self.groups[name]
         now_ms = self.context.now_ms()
         changed: dict[str, SessionRecord] = {}
-        for session, fields in records.items():
+        for encoded, fields in records.items():
+            session = without_route(encoded)
             incoming = SessionRecord.from_fields(fields, now_ms)
             record = group.record_of(session)
             new_keys = {
@@ -165,7 +167,10 @@
                 if key not in record.keys or known.goes_over(record.keys[key])
             }
             record.merge(incoming)
-            changed[session] = SessionRecord(record.lease, record.endpoints, new_keys)
+            earlier = changed[session].keys if session in changed else {}
+            changed[session] = SessionRecord(
+                record.lease, record.endpoints, {**earlier, **new_keys}
+            )
         self._store.save_all(name, changed, on_saved)
 
     def finish_learning(self, name: str, version: int) -> None:
@@ -237,7 +242,8 @@
         if group is None:
             reply(message_body(NOT_A_REPLICA))
             return
-        record = group.record_of(request.session)
+        session = without_route(request.session)
+        record = group.record_of(session)
         lease = LeaseVersion(request.number, request.holder)
         if lease <= record.lease:
             reply(message_body(SessionReply(ReplyCode.STALE_LEASE, record.lease.number)))
@@ -251,7 +257,7 @@
         fields = record.to_fields(self.context.now_ms(), keys)
         answer = SessionReply(ReplyCode.DONE, fields, former_holder)
         replied = functools.partial(reply, message_body(answer))
-        self._store.save_session(request.group, request.session, record, replied)
+        self._store.save_session(request.group, session, record, replied)
 
     def _on_reserve_key(self, peer: str, request: ReserveKeyRequest, reply: Reply) -> None:
         """The holder of the lease reserves a key before the request is sent."""
@@ -259,7 +265,8 @@
         if group is None:
             reply(message_body(NOT_A_REPLICA))
             return
-        record = group.record_of(request.session)
+        session = without_route(request.session)
+        record = group.record_of(session)
         if LeaseVersion(request.number, request.holder) != record.lease:
             reply(message_body(SessionReply(ReplyCode.STALE_LEASE, record.lease.number)))
             return
@@ -283,7 +290,7 @@
             now_ms + request.keep_ms,
         )
         replied = functools.partial(reply, message_body(SessionReply(ReplyCode.DONE)))
-        self._store.save_key(request.group, request.session, request.key, reserved, replied)
+        self._store.save_key(request.group, session, request.key, reserved, replied)
 
     def _blocking_record(
         self, group: GroupReplica, record: SessionRecord, request: ReserveKeyRequest, now_ms: float
@@ -300,7 +307,8 @@
             return known
         if known is not None and request.if_unknown and known.may_have_run(now_ms):
             return known
-        return group.key_of_other_release(request.session, request.key, request.fingerprint, now_ms)
+        session = without_route(request.session)
+        return group.key_of_other_release(session, request.key, request.fingerprint, now_ms)
 
     def _on_record_outcome(self, peer: str, request: RecordOutcomeRequest, reply: Reply) -> None:
         """What became of a reserved key, whoever holds the lease by now."""
@@ -308,20 +316,22 @@
         if group is None:
             reply(message_body(NOT_A_REPLICA))
             return
-        record = group.record_of(request.session)
+        session = without_route(request.session)
+        record = group.record_of(session)
         outcome = KeyRecord.from_fields(request.record, self.context.now_ms())
         record.merge_key(request.key, outcome)
         if any(record.endpoints.get(service) != id for service, id in request.endpoints.items()):
             record.endpoints.update(request.endpoints)
-            self._store.save_session(request.group, request.session, record)
+            self._store.save_session(request.group, session, record)
         replied = functools.partial(reply, message_body(SessionReply(ReplyCode.DONE)))
         known = record.keys[request.key]
-        self._store.save_key(request.group, request.session, request.key, known, replied)
+        self._store.save_key(request.group, session, request.key, known, replied)
 
     def _on_read(self, peer: str, request: ReadSessionRequest, reply: Reply) -> None:
         """What is known of a session or of one of its keys, without acquiring its lease."""
         group = self._replica_for(request.group, request.group_version)
-        record = group.records.get(request.session) if group is not None else None
+        session = without_route(request.session)
+        record = group.records.get(session) if group is not None else None
         keys = None if request.key is None else (request.key,)
         fields = record.to_fields(self.context.now_ms(), keys) if record is not None else None
         reply([0 if group is None else 1, fields])
--- a/stagevale/sessions/session_leases.py
+++ b/stagevale/sessions/session_leases.py
@@ -11,6 +11,7 @@
 from stagevale.sessions.group_client import GroupClient, GroupReplies
 from stagevale.sessions.messages import AcquireRequest, ReplyCode, SuccessorRow
 from stagevale.sessions.records import AttemptId, LeaseVersion, SessionRecord
+from stagevale.sessions.session_id import without_route
 
 FIRST_NUMBER = 1
 WITHOUT_KEYS = 1
@@ -212,7 +213,8 @@
     def _on_successor(self, _peer: str, rows: list[list[object]], _reply: Reply) -> None:
         """Another proxy of the zone shuts down and leaves sessions to this one."""
         for row in rows:
-            session, group_name, number = SuccessorRow(*row)  # type: ignore[arg-type]  # checked by use
+            left = SuccessorRow(*row)  # type: ignore[arg-type]  # checked by use
+            session, group_name, number = without_route(left.session), left.group, left.number
             if session not in self.held and session not in self._acquiring:
                 self._acquiring[session] = []
                 self._acquire(session, group_name, number + 1, 0.0)
--- a/stagevale/sessions/session_store.py
+++ b/stagevale/sessions/session_store.py
@@ -6,10 +6,10 @@
 from stagevale.sessions.expiry import ExpiryQueue
 from stagevale.sessions.group_replica import GroupReplica
 from stagevale.sessions.records import KeyRecord, SessionRecord
+from stagevale.sessions.session_id import without_route
 from stagevale.sessions.stored_rows import (
     GROUP_ROW,
     KEY_ROW,
-    LEASE_ROW,
     Row,
     group_row,
     key_row,
@@ -78,20 +78,17 @@
             elif kind == KEY_ROW:
                 self._read_key(group, fields)
             else:
-                self._read_session(group, kind, fields)
+                self._read_session(group, fields)
 
     def _read_key(self, group: GroupReplica, fields: Row) -> None:
         session, key, record = fields
         loaded = KeyRecord.from_fields(record, self.context.now_ms())
-        group.record_of(session).merge_key(key, loaded)
+        group.record_of(without_route(session)).merge_key(key, loaded)
 
-    def _read_session(self, group: GroupReplica, kind: str, fields: Row) -> None:
+    def _read_session(self, group: GroupReplica, fields: Row) -> None:
         session, content = fields
         loaded = SessionRecord.from_fields(content, self.context.now_ms())
-        record = group.record_of(session)
-        if kind == LEASE_ROW:
-            loaded.keys = record.keys
-        record.replace(loaded)
+        group.record_of(without_route(session)).merge(loaded)
 
     def _move_keys(self) -> None:
         """Brings keys that a release before kept with their sessions to the log of keys."""
--- a/tests/test_session_scopes.py
+++ b/tests/test_session_scopes.py
@@ -1,12 +1,15 @@
-"""A session and its keys belong to a tenant, a host and a route."""
+"""A session and its keys belong to a tenant and a host, whatever routes a version has."""
 
 import json
 
 import pytest
+from support.disk import MemoryLog
 from test_affinity import Crossing, route
 
 from stagevale.sessions.proxy_sessions import ProxySessions
-from stagevale.sessions.session_id import SessionId, read_session_id
+from stagevale.sessions.records import AttemptId, KeyRecord, KeyState, LeaseVersion, SessionRecord
+from stagevale.sessions.session_id import SEPARATOR, SessionId, read_session_id
+from stagevale.sessions.stored_rows import GROUP_ROW
 
 TENANTS = [
     {"name": "hill", "apiKeys": ["key-of-hill"]},
@@ -112,8 +115,8 @@
     day = crossing(46, TENANTS)
     assert day.answer(day.send(0, "k", session="b", more=bearing("hill"))) == "200"
     sessions = day.fleet.proxies[0].forwarder.sessions
-    hill = SessionId("b", "hill", "h.example", "/e/").encode()
-    coast = SessionId("b", "coast", "h.example", "/e/").encode()
+    hill = SessionId("b", "hill", "h.example").encode()
+    coast = SessionId("b", "coast", "h.example").encode()
     assert sessions.affinity.endpoint_of(hill, "s") is not None
     assert sessions.affinity.endpoint_of(coast, "s") is None
 
@@ -127,13 +130,134 @@
     assert day.world.until(lambda: shown, 3000)
     status, body = shown[0]
     assert status == 200
-    assert [(row["tenant"], row["host"], row["route"]) for row in body["records"]] == [
-        ("coast", "h.example", "/e/"),
-        ("hill", "h.example", "/e/"),
+    assert [(row["tenant"], row["host"]) for row in body["records"]] == [
+        ("coast", "h.example"),
+        ("hill", "h.example"),
     ]
 
 
-# the release before
+# versions that change routes
+
+
+def put_in_force(day, routes, number):
+    """Replaces the configuration's routes, and waits until all proxies have them."""
+    config = {
+        "version": f"r{number}",
+        "parentVersion": f"r{number - 1}",
+        "routes": routes,
+        "services": [{"name": "s", "maxConns": 90, "warmupS": 0, "coldPerS": 999}],
+    }
+    assert day.fleet.insist([0], "replace", json.dumps(config))[0] == 200
+    serial = max(
+        registry.service.configuration.serial for registry in day.fleet.registries.values()
+    )
+    assert day.world.until(
+        lambda: all(
+            proxy.forwarder.snapshot.serial >= serial for proxy in day.fleet.proxies.values()
+        ),
+        5000,
+    )
+
+
+SPLIT = [*ROUTES, route("/e/hill/", "effectful")]
+RENAMED = [route("/e/", "effectful", name="weigh-in"), *ROUTES[1:]]
+SLOWER = [route("/e/", "effectful", timeoutMs=2500), *ROUTES[1:]]
+
+
+@pytest.mark.parametrize("routes", [SPLIT, RENAMED, SLOWER], ids=["split", "renamed", "slower"])
+def test_a_key_stands_for_its_request_whatever_a_version_does_to_its_route(routes):
+    """Guards against a repeat that runs again, since its route has another name (review/7)."""
+    day = crossing(50)
+    first = day.send(0, "k", session="b", path="/e/hill/1")
+    assert day.answer(first) == "200"
+    put_in_force(day, routes, 3)
+    again = day.send(3, "k", session="b", path="/e/hill/1")
+    assert day.answer(again) == "200"
+    assert day.ran("k") == 1
+    assert body_of(again) == body_of(first)
+    # Under the former routes it is the same request, too.
+    put_in_force(day, ROUTES, 4)
+    assert day.answer(day.send(1, "k", session="b", path="/e/hill/1")) == "200"
+    assert day.ran("k") == 1
+
+
+def test_a_key_on_two_routes_of_a_host_runs_once():
+    """Guards against a tenant's key that runs once for each route."""
+    day = crossing(51)
+    put_in_force(day, SPLIT, 3)
+    assert day.answer(day.send(0, "k", session="b", path="/e/x")) == "200"
+    assert day.answer(day.send(1, "k", session="b", path="/e/hill/x")) == "422"
+    assert day.ran("k") == 1
+
+
+def with_route_in_names(proxy):
+    """Has a proxy name its sessions as releases up to 4dd6197 did: with the route's name."""
+
+    class RouteSessions(ProxySessions):
+        __slots__ = ()
+
+        def read(self, request):
+            reason = super().read(request)
+            if request.reservation is not None:
+                request.reservation.session += SEPARATOR + request.route.name
+            return reason
+
+    proxy.forwarder.sessions.__class__ = RouteSessions
+
+
+@pytest.mark.parametrize("former", [0, 1])
+def test_a_key_with_its_routes_name_is_found_without_it(former):
+    """Guards against a key that one release has run and the next one runs again, and back."""
+    day = crossing(52, TENANTS)
+    with_route_in_names(day.fleet.proxies[former])
+    first = day.send(0, "k", session="b", more=bearing("hill"))
+    assert day.answer(first) == "200"
+    again = day.send(1, "k", session="b", more=bearing("hill"))
+    assert day.answer(again) == "200"
+    assert body_of(again) == body_of(first)
+    assert day.ran("k") == 1
+
+
+def name_route_on_disk(day):
+    """Has the registries' logs bear the names that releases up to 4dd6197 wrote."""
+    for name, log in day.world.disks.items():
+        if name.startswith(("sessions ", "keys ")) and isinstance(log, MemoryLog):
+            for row in log.rows:
+                if row[0] != GROUP_ROW:
+                    row[2] += SEPARATOR + "/e/"
+
+
+def test_a_record_on_disk_with_its_routes_name_is_found_after_an_upgrade():
+    """Guards against keys on disk that an upgrade forgets, so that they run again."""
+    day = crossing(53, TENANTS)
+    first = day.send(0, "k", session="b", more=bearing("hill"))
+    assert day.answer(first) == "200"
+    name_route_on_disk(day)
+    day.fleet.lose_power()
+    assert day.world.until(day.ready, 30000)
+    again = day.send(1, "k", session="b", more=bearing("hill"))
+    assert day.answer(again, 8000) == "200"
+    assert body_of(again) == body_of(first)
+    assert day.ran("k") == 1
+
+
+@pytest.mark.parametrize("in_order", [True, False])
+def test_sessions_of_two_routes_become_one_with_the_higher_lease(in_order):
+    """Guards against a merged session that brings back an old lease, or forgets a key that ran."""
+    ran = KeyRecord(AttemptId(7, "p", 1), KeyState.RESERVED, "f", "p", None, 9e9)
+    other = KeyRecord(AttemptId(7, "p", 1), KeyState.NOT_RUN, "g", "p", None, 9e9)
+    records = [
+        SessionRecord(LeaseVersion(7, "p"), {"s": "i-1"}, {"k": ran}),
+        SessionRecord(LeaseVersion(2, "q"), {"s": "i-2"}, {"k": other}),
+    ]
+    merged = SessionRecord()
+    for record in records if in_order else reversed(records):
+        merged.merge(record)
+    assert (merged.lease, merged.endpoints) == (LeaseVersion(7, "p"), {"s": "i-1"})
+    assert merged.keys["k"] is ran
+
+
+# the first releases
 
 
 def as_release_before(proxy):
@@ -146,7 +270,7 @@
             reason = super().read(request)
             if request.session is not None:
                 plain = request.session.name
-                request.session = SessionId(plain, "", "", "")
+                request.session = SessionId(plain, "", "")
                 if request.reservation is not None:
                     request.reservation.session = plain
             return reason
@@ -184,11 +308,12 @@
     shown = []
     day.fleet.registries[2].api.sessions.show("b", lambda *answer: shown.append(answer))
     assert day.world.until(lambda: shown, 3000)
-    former = [row for row in shown[0][1]["records"] if not row["route"]]
+    former = [row for row in shown[0][1]["records"] if not row["host"]]
     assert [(row["tenant"], row["requests"][0]["state"]) for row in former] == [("", "answered")]
 
 
 def test_an_identity_is_read_as_it_was_written():
-    id = SessionId("fan 7", "hill", "h.example", "weigh-in")
+    id = SessionId("fan 7", "hill", "h.example")
     assert read_session_id(id.encode()) == id
-    assert read_session_id("fan-7") == SessionId("fan-7", "", "", "")
+    assert read_session_id(id.encode() + SEPARATOR + "weigh-in") == id
+    assert read_session_id("fan-7") == SessionId("fan-7", "", "")
