Shards: a stall of their owner is no silence of endpoints

What callers would see: right after the machine of a shard's owner stood still, proxies passed over endpoints that had beaten elsewhere all the time.

Change: what the newest stall took is passed over when an endpoint's silence is measured.

Why it works: silence says something only about a time in which this process read what was sent.

Measured: of six new cases of tests/test_registry_contact.py three fail before, all pass here.

--- a/stagevale/discovery/shard_ownership.py
+++ b/stagevale/discovery/shard_ownership.py
@@ -186,13 +186,13 @@
             return
         if now_ms - service.contact.started_ms < heartbeat_ms * START_HEARTBEATS:
             return
-        oldest_ms = now_ms - heartbeat_ms * SILENT_HEARTBEATS
+        limit_ms = heartbeat_ms * SILENT_HEARTBEATS
         silent = [
             instance
             for shard in SHARDS
             if self.owns(shard)
             for instance in service.instances.in_shard(shard)
-            if _is_silent(instance, oldest_ms)
+            if instance.is_counted and self._silent_ms(instance, now_ms) >= limit_ms
         ]
         changed = [
             unhealthy
@@ -202,6 +202,11 @@
         if changed:
             service.heartbeats.spread(changed)
 
+    def _silent_ms(self, instance: Instance, now_ms: float) -> float:
+        """For how long an instance could have been heard, and wasn't."""
+        since_ms = instance.last_heartbeat_ms
+        return now_ms - since_ms - self.service.contact.deaf_since_ms(since_ms)
+
     def _declare_unhealthy(self, instance: Instance, now_ms: float) -> Instance | None:
         instances = self.service.instances
         last_heartbeat_ms = instances.by_id[instance.id].last_heartbeat_ms
@@ -213,7 +218,3 @@
                 "registry: %s of %s is unhealthy, no heartbeat.", instance.id, instance.service
             )
         return changed
-
-
-def _is_silent(instance: Instance, oldest_ms: float) -> bool:
-    return instance.is_counted and instance.last_heartbeat_ms <= oldest_ms
--- a/stagevale/reachability/registry_contact.py
+++ b/stagevale/reachability/registry_contact.py
@@ -237,6 +237,10 @@
         """
         return self._clock.now_ms() >= self._settling_ms
 
+    def deaf_since_ms(self, since_ms: float) -> float:
+        """For how long this registry could hear nothing since a moment; see `ListeningClock`."""
+        return self._clock.deaf_since_ms(since_ms)
+
     def is_starting(self) -> bool:
         """True for a while after the start, when silence of the others says nothing yet."""
         return self.context.now_ms() - self.started_ms < self.interval_ms * STARTING_ROUNDS
--- a/tests/test_registry_contact.py
+++ b/tests/test_registry_contact.py
@@ -1,12 +1,15 @@
 """What a registry promises while it can't know yet who of the others is in reach."""
 
 import pytest
+from support.endpoints import send_heartbeat
 from support.fleet import Fleet
-from test_control import settled_fleet
+from test_control import address, settled_fleet
 from test_registrations import beat_of, heartbeat
+from test_shard_ownership import owners
 from test_tallies import CONTACT_MS, MERGE_MS, amend, call, insist, total, totals
 from test_tallies import formed as formed_of_six
 
+from stagevale.placement.shards import shard_of
 from stagevale.singleton.agreed_clock import AgreedClock
 
 CORE = 3
@@ -225,3 +228,38 @@
     fleet.world.join()
     fleet.world.run(1)
     assert named() == before
+
+
+def stand_still(fleet, number, stall_ms):
+    """A registry's machine stands still, and what was sent to it meanwhile is dropped."""
+    for daemon in (fleet.registries[number], fleet.store_daemons[number]):
+        fleet.world.freeze(daemon.context, stall_ms)
+    rest = [address(other) for other in fleet.registries if other != number]
+    fleet.world.cut([address(number)], rest)
+    fleet.world.run(stall_ms)
+    fleet.world.join()
+
+
+def keep_alive(fleet, to, id, seq=1):
+    """An endpoint sends its heartbeats to one registry."""
+    fleet.world.later(1000, keep_alive, fleet, to, id, seq + 1)
+    send_heartbeat(fleet.registries[to].service, id, beat_of(id, seq=seq), lambda *_answer: None)
+
+
+# The owner of a shard that stood still has heard no endpoint lately: they aren't silent for that.
+@pytest.mark.parametrize(
+    "seed, stall_ms", [(281, 7000), (282, 3200), (282, 4000), (283, 3200), (287, 2500), (287, 4000)]
+)
+def test_endpoints_of_a_registry_that_stood_still_stay_healthy(seed, stall_ms):
+    fleet = settled_fleet(seed, core=CORE)
+    shard = shard_of("s")
+    assert fleet.world.until(lambda: len(owners(fleet, shard)) == 1, 20000)
+    (owner,) = owners(fleet, shard)
+    heard_by = (owner + 1) % CORE
+    keep_alive(fleet, heard_by, "i-1")
+    fleet.world.run(2 * CONTACT_MS)
+    stand_still(fleet, owner, stall_ms)
+    instances = fleet.registries[owner].service.instances
+    for _ in range(40):
+        fleet.world.run(50)
+        assert instances.by_id["i-1"].is_counted
