--- a/stagevale/discovery/shard_ownership.py
+++ b/stagevale/discovery/shard_ownership.py
@@ -106,7 +106,7 @@
         return self._voter.highest(shard).candidate == self._id and shard not in self._owners
 
     def _is_live(self, address: str) -> bool:
-        return self.membership.is_reachable(address) and self.service.contact.is_live(address)
+        return self.membership.is_reachable(address) and self.service.contact.may_be_live(address)
 
     def _run_for(self, shard: str) -> None:
         replicas = self.service.replicas_of(shard)
--- a/tests/test_registry_contact.py
+++ b/tests/test_registry_contact.py
@@ -9,7 +9,7 @@
 from test_tallies import CONTACT_MS, MERGE_MS, amend, call, insist, total, totals
 from test_tallies import formed as formed_of_six
 
-from stagevale.placement.shards import shard_of
+from stagevale.placement.shards import SHARDS, shard_of
 from stagevale.singleton.agreed_clock import AgreedClock
 
 CORE = 3
@@ -263,3 +263,17 @@
     for _ in range(40):
         fleet.world.run(50)
         assert instances.by_id["i-1"].is_counted
+
+
+# A registry that stood still, or has just started, doesn't take a shard from an owner that is there.
+@pytest.mark.parametrize("stall_ms", [1800, 2500, 3500])
+@pytest.mark.parametrize("number", range(CORE))
+def test_a_registry_that_stood_still_takes_no_shard_from_its_owner(number, stall_ms):
+    fleet = settled_fleet(290 + number, core=CORE)
+    assert fleet.world.until(lambda: all(len(owners(fleet, shard)) == 1 for shard in SHARDS), 20000)
+    stand_still(fleet, number, stall_ms)
+    before = {shard: owners(fleet, shard) for shard in SHARDS}
+    elsewhere = {shard: who for shard, who in before.items() if number not in who}
+    for _ in range(60):
+        fleet.world.run(50)
+        assert {shard: owners(fleet, shard) for shard in elsewhere} == elsewhere
