Membership: who stood still is no witness that another is lost

What callers would see: a registry that ran all the time marked down after a stall of the two others, and its feeds, shards and groups placed anew.

Change: only members that are silent without the newest stall of this process are reported and downed.

Why it works: a lost member is silent after the stall, too, within the same bound.

--- a/stagevale/membership/downing.py
+++ b/stagevale/membership/downing.py
@@ -41,7 +41,7 @@
             if member.is_core and member.state != MemberState.REMOVED
         }
         changed = False
-        for address in membership.failure_detector.unreachable:
+        for address in membership.failure_detector.silent:
             observers = self._observers(address)
             majority = len(observers & core) * 2 > len(core)
             if majority and members[address].state in COUNTED_STATES:
--- a/stagevale/membership/failure_detector.py
+++ b/stagevale/membership/failure_detector.py
@@ -5,6 +5,7 @@
 from stagevale.membership.gossip_targets import FAR_SENDERS
 from stagevale.membership.member import Member
 from stagevale.membership.phi_accrual import HeartbeatHistory
+from stagevale.runtime.listening_clock import ListeningClock
 
 if TYPE_CHECKING:
     from stagevale.membership.membership import Membership
@@ -22,14 +23,18 @@
     Attributes:
         histories: by address; gossip records heartbeats in them.
         unreachable: addresses of the members that are suspected.
+        silent: those of them that are suspected for what this process could have heard, too: after
+            a stall of its own nobody is, at first.
     """
 
-    __slots__ = ("membership", "histories", "unreachable")
+    __slots__ = ("membership", "histories", "unreachable", "silent", "_clock")
 
     def __init__(self, membership: "Membership") -> None:
         self.membership = membership
         self.histories: dict[str, HeartbeatHistory] = {}
         self.unreachable: frozenset[str] = frozenset()
+        self.silent: frozenset[str] = frozenset()
+        self._clock = ListeningClock(membership.context, membership.interval_ms)
 
     def watch(self, member: Member, now_ms: float) -> None:
         """Begins a history for a member whose first heartbeat has arrived."""
@@ -42,7 +47,9 @@
     def update(self, now_ms: float) -> None:
         """Finds the members that are unreachable now, and tells the membership of a change."""
         membership = self.membership
+        self._clock.look()
         suspected = set()
+        silent = set()
         for member in membership.state.counted_members():
             if member.address == membership.me.address:
                 continue
@@ -51,6 +58,10 @@
                 self.watch(member, now_ms)
             elif history.is_suspected(now_ms):
                 suspected.add(member.address)
+                deaf_ms = self._clock.deaf_since_ms(history.last_heartbeat_ms)
+                if history.is_suspected(now_ms - deaf_ms):
+                    silent.add(member.address)
+        self.silent = frozenset(silent)
         unreachable = frozenset(suspected)
         if unreachable == self.unreachable:
             return
--- a/stagevale/membership/overview.py
+++ b/stagevale/membership/overview.py
@@ -94,9 +94,10 @@
     """This daemon's report and the recent ones of core members: observer, heartbeat, addresses."""
     membership = gossip.membership
     unreachable = membership.failure_detector.unreachable
+    silent = membership.failure_detector.silent
     reports: list[list[object]] = []
-    if unreachable:
-        reports.append([membership.me.address, gossip.heartbeat, sorted(unreachable)])
+    if silent:
+        reports.append([membership.me.address, gossip.heartbeat, sorted(silent)])
     for observer, report in gossip.reports.items():
         member = membership.state.members.get(observer)
         if (
--- a/tests/test_registry_contact.py
+++ b/tests/test_registry_contact.py
@@ -9,6 +9,7 @@
 from test_tallies import CONTACT_MS, MERGE_MS, amend, call, insist, total, totals
 from test_tallies import formed as formed_of_six
 
+from stagevale.membership.member import MemberState
 from stagevale.placement.shards import SHARDS, shard_of
 from stagevale.singleton.agreed_clock import AgreedClock
 
@@ -230,16 +231,21 @@
     assert named() == before
 
 
-def stand_still(fleet, number, stall_ms):
-    """A registry's machine stands still, and what was sent to it meanwhile is dropped."""
-    for daemon in (fleet.registries[number], fleet.store_daemons[number]):
-        fleet.world.freeze(daemon.context, stall_ms)
-    rest = [address(other) for other in fleet.registries if other != number]
-    fleet.world.cut([address(number)], rest)
+def stand_still_together(fleet, numbers, stall_ms):
+    """Machines stand still, and what was sent to them meanwhile is dropped."""
+    for number in numbers:
+        for daemon in (fleet.registries[number], fleet.store_daemons[number]):
+            fleet.world.freeze(daemon.context, stall_ms)
+    fleet.world.cut(map(address, numbers), list(map(address, fleet.registries)))
     fleet.world.run(stall_ms)
     fleet.world.join()
 
 
+def stand_still(fleet, number, stall_ms):
+    """A registry's machine stands still, and what was sent to it meanwhile is dropped."""
+    stand_still_together(fleet, [number], stall_ms)
+
+
 def keep_alive(fleet, to, id, seq=1):
     """An endpoint sends its heartbeats to one registry."""
     fleet.world.later(1000, keep_alive, fleet, to, id, seq + 1)
@@ -277,3 +283,24 @@
     for _ in range(60):
         fleet.world.run(50)
         assert {shard: owners(fleet, shard) for shard in elsewhere} == elsewhere
+
+
+# Two of three machines that stood still have heard nobody lately: the third isn't down for that.
+@pytest.mark.parametrize("seed", [301, 304])
+def test_machines_that_stood_still_dont_mark_one_down_that_ran(seed):
+    fleet = settled_fleet(seed, core=CORE)
+    fleet.world.run(2 * CONTACT_MS)
+    for stall_ms in (1500, 2500, 4000, 7000):
+        for running in (2, 1, 0):
+            stood_still = [number for number in range(CORE) if number != running]
+            stand_still_together(fleet, stood_still, stall_ms)
+            ran = fleet.registries[running].membership.me.address
+            for _ in range(60):
+                fleet.world.run(50)
+                assert not any(marks_down(registry, ran) for registry in fleet.registries.values())
+            fleet.world.run(3 * CONTACT_MS)
+
+
+def marks_down(registry, registry_address):
+    member = registry.membership.state.members.get(registry_address)
+    return member is not None and member.state >= MemberState.DOWN
