Forwarder and session replica: counts of flows, and opening a record, have places of their own

Cause: three handlers of SessionReplica opened a session's record in the same five lines, and the Forwarder, the largest class, kept the counts that rehearsals read.

Change: SessionReplica._open; forwarding/flow_counter.py, which takes the estimates and not the forwarder.

--- a/stagevale/daemons/proxy.py
+++ b/stagevale/daemons/proxy.py
@@ -227,7 +227,7 @@
         ]
         report: list[Any] = [
             age_ms,
-            self.forwarder.take_flows(),
+            self.forwarder.flows.take(self.forwarder.snapshot),
             self.targets.slow_rows(),
             latencies,
         ]
--- a/stagevale/failover_simulation/plan.py
+++ b/stagevale/failover_simulation/plan.py
@@ -5,7 +5,7 @@
 
 from stagevale.balancing.snapshot import Route, Service
 from stagevale.failover_simulation.errors import SimulationError
-from stagevale.forwarding.forwarder import RETRIES
+from stagevale.forwarding.flow_counter import RETRIES
 from stagevale.placement.fronts import ReadyFront, choose_fronts
 from stagevale.runtime.clock import MS_PER_S
 from stagevale.settings.settings import Bounds
--- a/stagevale/forwarding/forwarder.py
+++ b/stagevale/forwarding/forwarder.py
@@ -1,7 +1,7 @@
 """Carries requests between clients' connections and endpoints' connections."""
 
 import http
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from stagevale.balancing.chooser import Chooser
 from stagevale.balancing.snapshot import empty_snapshot
@@ -11,6 +11,7 @@
 from stagevale.forwarding.answer_policy import AnswerPolicy
 from stagevale.forwarding.client_connection import ClientConnection
 from stagevale.forwarding.endpoint_connection import EndpointAnswer, EndpointConnection
+from stagevale.forwarding.flow_counter import FlowCounter
 from stagevale.forwarding.queue import RequestQueue
 from stagevale.forwarding.request import Request
 from stagevale.forwarding.request_body import BodyBudget
@@ -41,8 +42,6 @@
 # An endpoint that couldn't be reached, or broke off, rests for so small a part of `contactMs`.
 UNREACHABLE_RESTS_PER_CONTACT = 8.0
 BROKEN_RESTS_PER_CONTACT = 10.0
-# Beside zones a proxy reports how many requests were retried, under this name.
-RETRIES = "again"
 
 
 class Forwarder:
@@ -59,6 +58,7 @@
         usage: counts of requests by tenant, or None.
         sessions: the proxy's sessions, or None.
         outcomes: of requests under rollouts, or None before the first.
+        flows: where requests went.
     """
 
     __slots__ = (
@@ -78,7 +78,7 @@
         "usage",
         "sessions",
         "outcomes",
-        "_flows",
+        "flows",
     )
 
     def __init__(self, context: Context, address: str) -> None:
@@ -98,7 +98,7 @@
         self.usage: UsageCounter | None = None
         self.sessions: ProxySessions | None = None
         self.outcomes: Outcomes | None = None
-        self._flows: dict[tuple[str, str], dict[str, int]] = {}
+        self.flows = FlowCounter(self.chooser.estimates)
 
     # a request begins
 
@@ -194,12 +194,11 @@
         """A request's bytes go out now."""
         request.sent_ms = self.context.now_ms()
         self._count_usage(request, target)
-        flow = self._flows.setdefault((request.route.name, request.service), {})
         if request.attempts > 1:
             self.retries.count_retry(request)
-            flow[RETRIES] = flow.get(RETRIES, 0) + 1
+            self.flows.count_retry(request)
         else:
-            flow[target.zone] = flow.get(target.zone, 0) + 1
+            self.flows.count_first(request, target.zone)
             self.retries.plan_hedge(request, target)
 
     def _count_usage(self, request: Request, target: Target) -> None:
@@ -299,25 +298,6 @@
             late = now_ms - request.start_ms > request.route.target_ms
             self.outcomes.count(rollout, target.software, target.zone, failed, late)
 
-    def take_flows(self) -> list[Any]:
-        """What went where since the last call: rows of route, service, kind, work, bytes and counts
-        by zone.
-        """
-        flows, self._flows = self._flows, {}
-        routes = {route.name: route for rows in self.snapshot.hosts.values() for _, route in rows}
-        return [
-            [
-                name,
-                service,
-                routes[name].pure,
-                int(self.chooser.estimates.work_ms(routes[name])),
-                int(self.chooser.estimates.bytes.get(name, 0)),
-                counts,
-            ]
-            for (name, service), counts in flows.items()
-            if name in routes
-        ]
-
     # a request ends
 
     def reject(self, request: Request, reason: str) -> None:
--- a/stagevale/sessions/replica.py
+++ b/stagevale/sessions/replica.py
@@ -4,7 +4,7 @@
 
 import functools
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 from stagevale.configuration.value import SessionGroup
 from stagevale.rpc.kinds import MessageKind
@@ -41,6 +41,20 @@
 NOT_A_REPLICA = SessionReply(ReplyCode.NOT_A_REPLICA)
 
 
+class OpenRecord(NamedTuple):
+    """A session's record that may be read and written here.
+
+    Attributes:
+        group: the group that the session is in.
+        session: its encoded identity, as records of this release have it.
+        record: what is known of it.
+    """
+
+    group: GroupReplica
+    session: str
+    record: SessionRecord
+
+
 def _attempt_of(request: ReserveKeyRequest) -> AttemptId:
     return AttemptId(request.number, request.holder, request.attempt_count)
 
@@ -234,16 +248,27 @@
             return None
         return group
 
+    def _open(
+        self, request: AcquireRequest | ReserveKeyRequest | RecordOutcomeRequest, reply: Reply
+    ) -> OpenRecord | None:
+        """The record of a request's session; None, and a reply, where this registry may not speak
+        for its group.
+        """
+        group = self._replica_for(request.group, request.group_version)
+        if group is None:
+            reply(message_body(NOT_A_REPLICA))
+            return None
+        session = without_route(request.session)
+        return OpenRecord(group, session, group.record_of(session))
+
     # sessions
 
     def _on_acquire(self, peer: str, request: AcquireRequest, reply: Reply) -> None:
         """A proxy wants the lease of a session under a higher version."""
-        group = self._replica_for(request.group, request.group_version)
-        if group is None:
-            reply(message_body(NOT_A_REPLICA))
+        opened = self._open(request, reply)
+        if opened is None:
             return
-        session = without_route(request.session)
-        record = group.record_of(session)
+        _, session, record = opened
         lease = LeaseVersion(request.number, request.holder)
         if lease <= record.lease:
             reply(message_body(SessionReply(ReplyCode.STALE_LEASE, record.lease.number)))
@@ -261,17 +286,15 @@
 
     def _on_reserve_key(self, peer: str, request: ReserveKeyRequest, reply: Reply) -> None:
         """The holder of the lease reserves a key before the request is sent."""
-        group = self._replica_for(request.group, request.group_version)
-        if group is None:
-            reply(message_body(NOT_A_REPLICA))
+        opened = self._open(request, reply)
+        if opened is None:
             return
-        session = without_route(request.session)
-        record = group.record_of(session)
+        _, session, record = opened
         if LeaseVersion(request.number, request.holder) != record.lease:
             reply(message_body(SessionReply(ReplyCode.STALE_LEASE, record.lease.number)))
             return
         now_ms = self.context.now_ms()
-        blocking = self._blocking_record(group, record, request, now_ms)
+        blocking = self._blocking_record(opened, request, now_ms)
         if blocking is not None:
             fields = blocking.to_fields(now_ms)
             reply(message_body(SessionReply(ReplyCode.ALREADY_RESERVED, fields)))
@@ -293,13 +316,14 @@
         self._store.save_key(request.group, session, request.key, reserved, replied)
 
     def _blocking_record(
-        self, group: GroupReplica, record: SessionRecord, request: ReserveKeyRequest, now_ms: float
+        self, opened: OpenRecord, request: ReserveKeyRequest, now_ms: float
     ) -> KeyRecord | None:
         """What is known of a key that forbids to reserve it, or None.
 
         A holder of a release before has seen all keys with its lease, so that only what was reserved
         since then forbids it.
         """
+        group, session, record = opened
         known = record.keys.get(request.key)
         if known is not None and known.expires_ms <= now_ms:
             known = None
@@ -307,17 +331,14 @@
             return known
         if known is not None and request.if_unknown and known.may_have_run(now_ms):
             return known
-        session = without_route(request.session)
         return group.key_of_other_release(session, request.key, request.fingerprint, now_ms)
 
     def _on_record_outcome(self, peer: str, request: RecordOutcomeRequest, reply: Reply) -> None:
         """What became of a reserved key, whoever holds the lease by now."""
-        group = self._replica_for(request.group, request.group_version)
-        if group is None:
-            reply(message_body(NOT_A_REPLICA))
+        opened = self._open(request, reply)
+        if opened is None:
             return
-        session = without_route(request.session)
-        record = group.record_of(session)
+        _, session, record = opened
         outcome = KeyRecord.from_fields(request.record, self.context.now_ms())
         record.merge_key(request.key, outcome)
         if any(record.endpoints.get(service) != id for service, id in request.endpoints.items()):
