--- a/tests/test_session_scopes.py
+++ b/tests/test_session_scopes.py
@@ -181,6 +181,19 @@
     assert day.ran("k") == 1
 
 
+MOVED = [*ROUTES[:3], route("/home/", "effectful", homeRegions=["a", "c"])]
+
+
+def test_a_key_stands_for_its_request_when_its_routes_homes_change():
+    """Guards against a repeat that runs again, since its route's records are kept elsewhere."""
+    day = crossing(54)
+    assert day.answer(day.send(0, "k", session="b", path="/home/x")) == "200"
+    put_in_force(day, MOVED, 3)
+    day.world.run(5000)
+    day.answer(day.send(2, "k", session="b", path="/home/x"))
+    assert day.ran("k") == 1
+
+
 def test_a_key_on_two_routes_of_a_host_runs_once():
     """Guards against a tenant's key that runs once for each route."""
     day = crossing(51)
