--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -5,8 +5,9 @@
 import json
 
 import pytest
-from support.endpoints import Endpoint, client_at, good, request, status_of
+from support.endpoints import status_of
 from support.fleet import Fleet, number_of
+from support.session_fleet import CONFIG, SessionFleet, route
 
 from stagevale.configuration.validation import check_configuration
 from stagevale.configuration.value import SessionGroup
@@ -22,113 +23,9 @@
 from stagevale.storage.folder import Folder
 from stagevale.storage.row_log import RowLog
 
-AFFINITY = {"header": "Session-Id"}
-
-
-def route(prefix, variant, **more):
-    return {
-        "name": prefix,
-        "host": "h.example",
-        "pathPrefix": prefix,
-        "variant": variant,
-        "timeoutMs": 3000,
-        "targetMs": 1000,
-        "service": "s",
-        "maxAttempts": 2,
-        "affinity": AFFINITY,
-        **more,
-    }
-
-
-CONFIG = {
-    "version": "r1",
-    "parentVersion": 0,
-    "routes": [
-        route("/e/", "effectful"),
-        route("/p/", "pure"),
-        route("/home/", "effectful", homeRegions=["a", "b"]),
-        route("/plain/", "effectful", affinity=None),
-    ],
-    "services": [{"name": "s", "maxConns": 90, "warmupS": 0, "coldPerS": 999}],
-}
-
-
-class Crossing:
-    """A fleet whose clients pass from site to site with one session and repeat their keys."""
-
-    def __init__(self, seed=1, proxies=6, noting=True, more=""):
-        self.fleet = Fleet(seed, proxies, more)
-        self.world = self.fleet.world
-        assert self.world.until(
-            lambda: len(self.fleet.leaders()) == 1 and self.fleet.formed(12 + proxies), 25000
-        )
-        assert self.fleet.insist([0], "replace", json.dumps(CONFIG))[0] == 200
-        self.runs, self.clients, self.work_ms, self.rule, self.number = [], [], 60, None, 0
-        self.endpoints = []
-        for place, zone in enumerate(("a1", "b1", "c1", "a2", "b2", "c2")):
-            endpoint = Endpoint(self.world, place + 1, self.run, zone)
-            self.endpoints.append(endpoint)
-            self.beat(place, endpoint, 1)
-        assert self.world.until(self.ready, 20000)
-        for proxy in self.fleet.proxies.values():
-            proxy.forwarder.sessions.reserves_keys = noting
-
-    def ready(self):
-        return all(
-            len(p.targets.by_id) == 6
-            and len(p.forwarder.snapshot.sessions) == 16
-            and not any(before for _, _, before in p.forwarder.snapshot.sessions.values())
-            for p in self.fleet.proxies.values()
-            if p.context.alive
-        )
-
-    def beat(self, place, endpoint, seq):
-        self.world.later(1500, self.beat, place, endpoint, seq + 1)
-        for number in (place, (place + 1) % 6):
-            if self.fleet.registries[number].context.alive:
-                self.fleet.registries[number].service.heartbeats.heartbeat(
-                    endpoint.instance(seq=seq), lambda _status, _body: None
-                )
-                return
-
-    def run(self, endpoint, fields, body):
-        key = fields.get(b"idempotency-key", b"").decode()
-        out = self.rule(endpoint, fields, body) if self.rule else None
-        if out is not None:
-            return out
-        self.runs.append((self.world.env.now, key, endpoint.id))
-        return good(endpoint, fields, body, b"run " + str(len(self.runs)).encode()), self.work_ms
-
-    def send(
-        self, proxy, key, session="fan", path="/e/x", body=b"crate", more=b"", host="h.example"
-    ):
-        """Sends a request to a site; the client, or None where there is no site."""
-        self.number += 1
-        ip = f"10.0.1.{proxy + 1}"
-        client = client_at(self.world, ip)
-        if client is None:
-            return None
-        heads = b""
-        if session is not None:
-            heads += b"Session-Id: " + session.encode() + b"\r\n"
-        if key is not None:
-            heads += b"Idempotency-Key: " + key.encode() + b"\r\n"
-        client.transport.write(
-            request(path, f"a{self.number}", "POST" if body else "GET", body, host, heads + more)
-        )
-        client.id = f"a{self.number}"
-        return client
-
-    def ran(self, key):
-        return sum(1 for _, ran, _ in self.runs if ran == key)
-
-    def answer(self, client, limit_ms=4000):
-        self.world.until(lambda: client.statuses(), limit_ms, 5)
-        return client.statuses()[0] if client.statuses() else None
-
 
 def test_a_repeat_at_any_site_gets_the_noted_answer():
-    day = Crossing()
+    day = SessionFleet()
     first = day.send(0, "k1")
     assert day.answer(first) == "200"
     for site in (0, 1, 4):
@@ -144,7 +41,7 @@
 
 
 def test_a_repeat_under_way_gets_its_answer_when_it_comes_or_409_at_the_deadline():
-    day = Crossing(seed=2)
+    day = SessionFleet(seed=2)
     day.work_ms = 700
     first = day.send(0, "k1")
     day.world.run(400)
@@ -167,7 +64,7 @@
 
 
 def test_a_client_that_hangs_up_and_repeats_elsewhere_gets_the_answer_of_the_one_run():
-    day = Crossing(seed=3)
+    day = SessionFleet(seed=3)
     day.work_ms = 500
     first = day.send(0, "k1")
     day.world.run(350)
@@ -178,7 +75,7 @@
 
 
 def test_what_did_not_run_may_run_later():
-    day = Crossing(seed=4)
+    day = SessionFleet(seed=4)
     day.rule = lambda _endpoint, _fields, _body: (
         b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
     )
@@ -190,7 +87,7 @@
 
 
 def test_a_repeat_that_waits_for_another_site_runs_once_that_one_says_it_did_not():
-    day = Crossing(seed=10)
+    day = SessionFleet(seed=10)
     turned = []
 
     def rule(endpoint, _fields, _body):
@@ -222,7 +119,7 @@
     ],
 )
 def test_bad_headers_are_a_400_and_nothing_runs(head, field):
-    day = Crossing(seed=5)
+    day = SessionFleet(seed=5)
     before = len(day.runs)
     client = day.send(0, None, None, more=head)
     assert day.answer(client) == "400"
@@ -231,7 +128,7 @@
 
 
 def test_routes_that_do_not_ask_pay_nothing():
-    day = Crossing(seed=6)
+    day = SessionFleet(seed=6)
     calls = day.fleet.proxies[0].rpc.last_request_id
     assert day.answer(day.send(0, "k", path="/plain/x")) == "200"
     assert day.fleet.proxies[0].rpc.last_request_id == calls
@@ -246,7 +143,7 @@
 
 
 def test_records_of_a_route_with_homes_are_kept_only_there():
-    day = Crossing(seed=7)
+    day = SessionFleet(seed=7)
     assert day.answer(day.send(2, "k1", session="s7", path="/home/x")) == "200"
     day.world.run(500)
     for _number, registry in day.fleet.registries.items():
@@ -263,7 +160,7 @@
 
 
 def test_reads_never_wait_and_keep_to_the_sessions_endpoint():
-    day = Crossing(seed=8)
+    day = SessionFleet(seed=8)
     served = []
     day.rule = lambda endpoint, _fields, _body: served.append(endpoint.id)
     assert day.answer(day.send(0, None, path="/p/x", body=b"")) == "200"
@@ -336,7 +233,7 @@
     Returns crossings, repeats answered, runs beyond the first, keys acknowledged and not run once,
     reads not served.
     """
-    day = Crossing(seed, noting=noting)
+    day = SessionFleet(seed, noting=noting)
     luck = day.world.random
     state = {
         "crossings": 0,
@@ -433,7 +330,7 @@
     """The closing event of a day. A key whose answer a client has got is never run again, nor one
     that was under way; where a majority of each group keeps its disk it is answered again.
     """
-    day = Crossing(seed=40 + len(lost) + sum(lost))
+    day = SessionFleet(seed=40 + len(lost) + sum(lost))
     answered = [f"answered{number}" for number in range(6)]
     clients = [day.send(site, key, session=key) for site, key in enumerate(answered)]
     assert [day.answer(client) for client in clients] == ["200"] * 6
@@ -463,7 +360,7 @@
     """The closing event of a day, where two disks may be lost: two members of a session's group
     lose theirs, all other machines their power. Machines are in touch twice `contactMs` after.
     """
-    day = Crossing(seed=44 + first, more="\n[tolerance]\nmachines = 2\n")
+    day = SessionFleet(seed=44 + first, more="\n[tolerance]\nmachines = 2\n")
     answered = [f"answered{number}" for number in range(6)]
     clients = [day.send(site, key, session=key) for site, key in enumerate(answered)]
     assert [day.answer(client) for client in clients] == ["200"] * 6
@@ -550,7 +447,7 @@
 
 
 def test_a_session_is_shown_with_its_keys_and_states():
-    day = Crossing(seed=9)
+    day = SessionFleet(seed=9)
     assert day.answer(day.send(0, "k1", session="fan-7")) == "200"
     assert day.answer(day.send(1, "k2", session="fan-7")) == "200"
     shown = []
--- a/tests/test_key_records.py
+++ b/tests/test_key_records.py
@@ -3,7 +3,7 @@
 import pytest
 from support.disk import MemoryLog
 from support.endpoints import good
-from test_affinity import Crossing
+from support.session_fleet import SessionFleet
 
 from stagevale.balancing import snapshot
 from stagevale.rpc import codec
@@ -43,7 +43,7 @@
 
 # Each row on disk and each reply held all keys of the session, until a registry did nothing else.
 def test_a_keys_cost_does_not_grow_with_the_keys_of_its_session():
-    day = Crossing(seed=141)
+    day = SessionFleet(seed=141)
     big_answers(day)
     play(day, 0, 4)
     early = play(day, 4, 10)
@@ -57,7 +57,7 @@
 # A proxy that doesn't hold what a session's other proxies did must not run a key again.
 @pytest.mark.parametrize("other", [1, 2, 5])
 def test_a_key_that_another_proxy_has_answered_is_not_run_again(other):
-    day = Crossing(seed=142)
+    day = SessionFleet(seed=142)
     for number in range(5):
         assert day.answer(day.send(0, f"k{number}")) == "200"
     for number in range(5):
@@ -69,7 +69,7 @@
 # Records were dropped with the next lease only, so that those of a lasting lease stayed for good.
 def test_keys_are_dropped_when_their_time_is_over(monkeypatch):
     monkeypatch.setattr(snapshot, "DEFAULT_KEEP_S", 5)
-    day = Crossing(seed=143)
+    day = SessionFleet(seed=143)
     assert day.answer(day.send(0, "k1")) == "200"
     replicas = [registry.service.sessions for registry in day.fleet.registries.values()]
 
@@ -92,7 +92,7 @@
 def test_beyond_the_bound_of_stored_answers_new_keys_are_refused_and_promises_kept(monkeypatch):
     monkeypatch.setattr(snapshot, "DEFAULT_KEEP_S", 6)
     monkeypatch.setattr(session_store, "KEYS_SHARE", 5000 / (300 * 1024 * 1024))
-    day = Crossing(seed=144)
+    day = SessionFleet(seed=144)
     big_answers(day)
     keys = [f"k{number}" for number in range(12)]
     statuses = {key: day.answer(day.send(0, key)) for key in keys}
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from support.endpoints import good
-from test_affinity import Crossing
+from support.session_fleet import SessionFleet
 
 from stagevale.rpc import codec
 from stagevale.rpc.errors import MessageError
@@ -80,7 +80,7 @@
     assert page_of({"s": record_with(["k"])}, PageCursor(7, "x"), 0.0) == ({}, None)
 
 
-class LossOfADisk(Crossing):
+class LossOfADisk(SessionFleet):
     """A session with many large answers; then one registry of its group loses its disk.
 
     Attributes:
--- a/tests/test_session_fences.py
+++ b/tests/test_session_fences.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from test_affinity import Crossing
+from support.session_fleet import SessionFleet
 
 TAPS = 8
 SITES = (0, 3)
@@ -15,7 +15,7 @@
 
 def near_sites(seed):
     """Sites and a core that are near each other, so that one meets the other's every step."""
-    day = Crossing(seed=seed)
+    day = SessionFleet(seed=seed)
     day.work_ms = WORK_MS
     day.world.delay = lambda _one, _other: LINK_MS
     return day
--- a/tests/test_session_scopes.py
+++ b/tests/test_session_scopes.py
@@ -4,7 +4,7 @@
 
 import pytest
 from support.disk import MemoryLog
-from test_affinity import Crossing, route
+from support.session_fleet import SessionFleet, route
 
 from stagevale.sessions.proxy_sessions import ProxySessions
 from stagevale.sessions.records import AttemptId, KeyRecord, KeyState, LeaseVersion, SessionRecord
@@ -29,7 +29,7 @@
 
 def crossing(seed, tenants=()):
     """A fleet with two hosts, and tenants where they are given."""
-    day = Crossing(seed=seed)
+    day = SessionFleet(seed=seed)
     config = {
         "version": "r2",
         "parentVersion": "r1",
