Proxies: what a feeder doesn't bring is read from other registries (CONFIG)

Cause: a proxy whose feeder is behind goes to the next one, at most once in 1.5 rounds, and asks nobody else. Two feeders in a row that are behind take longer than applyMs; where all that are preferred are, it goes between them for ever.

Change: after 0.2 of applyMs the value is read from two other registries at once, those first that weren't asked just now and have named the newest one; pauses and time-outs rise after three reads. The look goes on until the value is there, with a feeder or without.

Why it works: who has the value no longer has to be who feeds.

--- a/stagevale/edge/feed_client.py
+++ b/stagevale/edge/feed_client.py
@@ -12,6 +12,7 @@
     SubscribeMessage,
 )
 from stagevale.edge.value_lag import ValueLag
+from stagevale.edge.value_reader import ValueReader
 from stagevale.membership.member import REGISTRY_PROGRAM
 from stagevale.placement.rule import feed_key
 from stagevale.rpc.kinds import MessageKind
@@ -45,6 +46,7 @@
         interval_ms: the length of a round.
         avoid_until_ms: until when former feeders are avoided, by address.
         lag: the values that this proxy has heard of and doesn't have.
+        reader: asks others than the feeder for them.
     """
 
     __slots__ = (
@@ -60,7 +62,9 @@
         "_feeder_since_ms",
         "avoid_until_ms",
         "lag",
+        "reader",
         "_last_report_ms",
+        "_check_planned",
     )
 
     def __init__(self, proxy: "Proxy", on_feed: Callable[[FeedMessage], None]) -> None:
@@ -81,8 +85,12 @@
         self._feeder_heard_ms = 0.0
         self._feeder_since_ms = 0.0
         self.lag = ValueLag()
+        self.reader = ValueReader(
+            self.context, self.rpc, self.membership, self._longest_behind_ms(), self._on_value_read
+        )
         self.avoid_until_ms: dict[str, float] = {}
         self._last_report_ms = 0.0
+        self._check_planned = False
         self.membership.on_newer_value = self._on_newer_value
         self.rpc.handle(MessageKind.FEED, FeedMessage, self._on_feed)
         self.rpc.handle(MessageKind.FEED_HEARTBEAT, FeedHeartbeat, self._on_heartbeat)
@@ -243,6 +251,7 @@
         self.pull_if_newer(heartbeat.serial)
 
     def _on_newer_value(self, sender: str, serial: int) -> None:
+        self.reader.record_name(sender, serial)
         self.pull_if_newer(serial)
 
     def pull_if_newer(self, serial: int) -> None:
@@ -253,22 +262,38 @@
         self.lag.heard(serial, self.context.now_ms())
         if self.feeder is not None:
             self.rpc.send(self.feeder, MessageKind.PULL_VALUE, PullValue(own_serial))
-            self.context.call_later(self._longest_behind_ms(), self._check_lag)
+        self._plan_check()
 
     def _longest_behind_ms(self) -> float:
         return self.context.settings.bounds.apply_ms * BEHIND_SHARE
 
+    def _plan_check(self) -> None:
+        if not self._check_planned:
+            self._check_planned = True
+            self.context.call_later(self._longest_behind_ms(), self._check_lag)
+
     def _check_lag(self) -> None:
-        """Changes the feeder where it doesn't bring what others have."""
+        """Asks others, and changes the feeder, where it doesn't bring what they have."""
+        self._check_planned = False
         now_ms = self.context.now_ms()
         behind_ms = self.lag.behind_ms(now_ms)
-        if self.feeder is None or self.proxy.stopping or behind_ms < self._longest_behind_ms():
+        if self.proxy.stopping or behind_ms == 0:
+            self.reader.end()
+            return
+        self._plan_check()
+        if behind_ms < self._longest_behind_ms():
             return
-        if now_ms - self._feeder_since_ms < self.interval_ms * BEHIND_ROUNDS:
+        self.reader.read(self.feeder)
+        had_time = now_ms - self._feeder_since_ms >= self.interval_ms * BEHIND_ROUNDS
+        if self.feeder is None or not had_time:
             return
         self.drop_feeder(f"version {self.lag.newest_heard} has not come for {behind_ms:.0f} ms")
         self._find_feeder()
 
+    def _on_value_read(self, encoded: bytes) -> None:
+        """Another registry than the feeder has told its value."""
+        self.on_feed(FeedMessage(1, encoded, b""))
+
     def _on_feed(self, peer: str, message: FeedMessage, reply: Reply) -> None:
         if peer == self.feeder:
             self._feeder_heard_ms = self.context.now_ms()
--- a/tests/test_value_lag.py
+++ b/tests/test_value_lag.py
@@ -5,6 +5,8 @@
 from test_register import config
 from test_registrations import formed
 
+from stagevale.edge.value_reader import ValueReader
+
 APPLY_MS = 2500
 # Where a registry takes in every value that reaches it.
 TAKE = "_take"
@@ -14,23 +16,23 @@
     return {number: proxy.forwarder.snapshot.serial for number, proxy in fleet.proxies.items()}
 
 
-def hold_back(fleet, monkeypatch, number):
-    """From now on a registry takes no further value, though it hears of them."""
-    stuck = fleet.registries[number].service.configuration
-    take = getattr(type(stuck), TAKE)
+def hold_back(fleet, monkeypatch, numbers):
+    """From now on some registries take no further value, though they hear of them."""
+    stuck = [fleet.registries[number].service.configuration for number in numbers]
+    take = getattr(type(stuck[0]), TAKE)
 
     def take_unless_stuck(client, value):
-        if client is not stuck:
+        if client not in stuck:
             take(client, value)
 
-    monkeypatch.setattr(type(stuck), TAKE, take_unless_stuck)
+    monkeypatch.setattr(type(stuck[0]), TAKE, take_unless_stuck)
 
 
 # A proxy whose feeder was behind stayed on the older version for as long as the feeder was.
 @pytest.mark.parametrize("stuck", [0, 1, 5])
 def test_a_proxy_leaves_a_feeder_that_does_not_bring_what_others_have(monkeypatch, stuck):
     fleet = formed(131)
-    hold_back(fleet, monkeypatch, stuck)
+    hold_back(fleet, monkeypatch, [stuck])
     fed = list(fleet.registries[stuck].service.feeds.subscribers)
     assert fed
     others = [number for number in range(6) if number != stuck]
@@ -40,6 +42,48 @@
     assert set(serials(fleet).values()) == {newest}
 
 
+# Where the next feeders were behind as well, a proxy went from one to the other for seconds, or for
+# ever (CONFIG: handled by a version older than one acknowledged more than applyMs before).
+@pytest.mark.parametrize(
+    "stuck", [(0, 1), (0, 3), (0, 1, 3), (0, 1, 2, 3), (2, 3, 4, 5), (0, 2, 3, 5)]
+)
+def test_a_proxy_gets_the_newest_value_while_most_registries_are_behind(monkeypatch, stuck):
+    fleet = formed(131)
+    hold_back(fleet, monkeypatch, stuck)
+    others = [number for number in range(6) if number not in stuck]
+    assert fleet.insist(others, "replace", config(2, 1))[0] == 200
+    newest = max(fleet.registries[number].service.configuration.serial for number in others)
+    fleet.world.run(APPLY_MS)
+    assert set(serials(fleet).values()) == {newest}
+
+
+class SilentTransport:
+    """Notes who is asked, and never replies."""
+
+    def __init__(self, world):
+        self.world = world
+        self.asked = []
+
+    def request(self, address, _kind, _message, _shape, _on_reply, timeout_ms):
+        self.asked.append((self.world.env.now, address, timeout_ms))
+
+
+# A value that doesn't come in time is asked for less and less often: a link may be narrow.
+def test_a_reader_asks_all_in_turn_and_less_and_less_often():
+    fleet = formed(134)
+    proxy = fleet.proxies[0]
+    rpc = SilentTransport(fleet.world)
+    reader = ValueReader(proxy.context, rpc, proxy.membership, 500.0, None)
+    for _ in range(600):
+        reader.read(proxy.feed.feeder)
+        fleet.world.run(50)
+    times = sorted({at_ms for at_ms, _, _ in rpc.asked})
+    assert 6 <= len(times) <= 14
+    registries = {registry.rpc.address for registry in fleet.registries.values()}
+    assert {address for _, address, _ in rpc.asked[:6]} == registries - {proxy.feed.feeder}
+    assert rpc.asked[-1][2] > 2000
+
+
 # Nothing told which proxy was behind, and for how long.
 def test_the_metrics_tell_who_was_behind():
     fleet = formed(132)
