Proxies: the first value is taken from a feeder only

Cause: with the commit before, a proxy that has just started read the value of any registry, which nobody had confirmed, and would have served by it.

Change: values are read from other registries only once there is one.

--- a/stagevale/edge/feed_client.py
+++ b/stagevale/edge/feed_client.py
@@ -283,7 +283,9 @@
         self._plan_check()
         if behind_ms < self._longest_behind_ms():
             return
-        self.reader.read(self.feeder)
+        if self.proxy.forwarder.snapshot.hosts:
+            # The first value is a feeder's, which has had it confirmed.
+            self.reader.read(self.feeder)
         had_time = now_ms - self._feeder_since_ms >= self.interval_ms * BEHIND_ROUNDS
         if self.feeder is None or not had_time:
             return
--- a/tests/test_value_lag.py
+++ b/tests/test_value_lag.py
@@ -5,6 +5,7 @@
 from test_register import config
 from test_registrations import formed
 
+from stagevale.edge.feed_client import FeedClient
 from stagevale.edge.value_reader import ValueReader
 
 APPLY_MS = 2500
@@ -84,6 +85,18 @@
     assert rpc.asked[-1][2] > 2000
 
 
+# A proxy that has just started would serve by whatever version some registry holds.
+def test_a_proxy_takes_its_first_value_from_its_feeder_only(monkeypatch):
+    fleet = formed(135)
+    fleet.world.kill(fleet.proxies[0].context)
+    monkeypatch.setattr(FeedClient, "subscribe", lambda _feed, _serial: None)
+    fleet.start_proxy(0)
+    proxy = fleet.proxies[0]
+    fleet.world.run(3 * APPLY_MS)
+    assert proxy.feed.lag.behind_ms(fleet.world.env.now) > APPLY_MS
+    assert not proxy.forwarder.snapshot.hosts
+
+
 # Nothing told which proxy was behind, and for how long.
 def test_the_metrics_tell_who_was_behind():
     fleet = formed(132)
