--- /dev/null
+++ b/tests/test_feeders.py
@@ -0,0 +1,99 @@
+"""A proxy finds a feeder that lives, whatever the placement table says."""
+
+import pytest
+from test_register import config
+from test_registrations import formed
+
+from stagevale.membership.member import MemberState
+
+APPLY_MS = 2500
+CORE = 9
+# The machines that feed the proxies of zone a1, by the placement table.
+PLACED = (0, 3, 6)
+
+
+def serials(fleet):
+    return {number: proxy.forwarder.snapshot.serial for number, proxy in fleet.proxies.items()}
+
+
+def frozen_placement(seed, proxies=6):
+    """A fleet whose leader finds no convergence from now on: its placement table stays as it is."""
+    fleet = formed(seed, proxies, core=CORE)
+    for daemon in fleet.daemons():
+        daemon.membership.leader_actions.placement_rule = None
+    return fleet
+
+
+def lose_machines(fleet, numbers):
+    """Machines go, and nothing answers at their addresses any more."""
+    addresses = [f"10.0.0.{number + 1}" for number in numbers]
+    everybody = [context.settings.ip for context in contexts(fleet)]
+    for number in numbers:
+        fleet.kill_core(number)
+    fleet.world.cut(addresses, everybody)
+
+
+def contexts(fleet):
+    return [daemon.context for daemon in fleet.daemons()]
+
+
+def fed_by(fleet, number):
+    """The number of the machine that feeds a proxy; None for one that nobody feeds."""
+    feed = fleet.proxies[number].feed
+    if feed.feeder is None or not feed.subscribed:
+        return None
+    return int(feed.feeder.partition(":")[0].rpartition(".")[2]) - 1
+
+
+def feeds(fleet):
+    return {number: fed_by(fleet, number) for number in fleet.proxies}
+
+
+# CONFIG on days that move the core: the placement table named three feeders that were gone. Members
+# that are down count as reachable, so proxies went round these three for as long as the table stood.
+@pytest.mark.parametrize("marked", [MemberState.DOWN, MemberState.REMOVED, None])
+def test_proxies_whose_placed_feeders_are_gone_are_fed_by_others(marked):
+    fleet = frozen_placement(140)
+    lose_machines(fleet, PLACED)
+    if marked is not None:
+        mark_members(fleet, PLACED, marked)
+    fleet.world.run(8000)
+    for _ in range(40):
+        fleet.world.run(250)
+        assert set(feeds(fleet).values()).isdisjoint({None, *PLACED})
+
+
+def mark_members(fleet, numbers, state):
+    """A daemon marks all daemons of some machines, and tells the others by gossip."""
+    membership = fleet.registries[1].membership
+    for number in numbers:
+        for port in (7200, 7201):
+            member = membership.state.members[f"10.0.0.{number + 1}:{port}"]
+            changed = membership.state.with_member(membership.me.address, member.with_state(state))
+            membership.apply_own_change(changed)
+
+
+# A change that was published while nobody fed a proxy reached it only by chance.
+@pytest.mark.parametrize("wait_ms", [1, 700, 1500, 3000, 6000, 12000])
+def test_a_change_reaches_proxies_whose_placed_feeders_are_gone_in_time(wait_ms):
+    fleet = frozen_placement(141)
+    lose_machines(fleet, PLACED)
+    fleet.world.run(wait_ms)
+    rest = [number for number in range(CORE) if number not in PLACED]
+    assert fleet.insist(rest, "replace", config(2, 1))[0] == 200
+    newest = max(fleet.registries[number].service.configuration.serial for number in rest)
+    fleet.world.run(APPLY_MS)
+    assert set(serials(fleet).values()) == {newest}
+
+
+# A feeder that ended in order left its proxies without one until they noticed.
+def test_a_feeder_that_leaves_hands_its_proxies_over_before_it_ends():
+    fleet = formed(142, 6)
+    leaver = fed_by(fleet, 0)
+    fed = [number for number, feeder in feeds(fleet).items() if feeder == leaver]
+    fleet.end_core(leaver)
+    assert fleet.world.until(
+        lambda: all(feeder not in (None, leaver) for feeder in feeds(fleet).values()), 2300
+    )
+    assert fed
+    assert fleet.registries[leaver].context.alive
--- a/tests/test_voters_leave.py
+++ b/tests/test_voters_leave.py
@@ -5,10 +5,13 @@
 
 from stagevale.consensus.messages import AcceptRequest, ConfirmRequest
 from stagevale.consensus.voter_id import shows_lost_disk
+from stagevale.quorum.rules import majority
 
 # What a whole system may take to serve again once all machines are back.
 RECOVERY_MS = 15000
 LEAVE_MS = 10000
+# A successor counts from `syncS` after its start on.
+SETTLED_MS = 6000
 TOLERANCE = "\n[tolerance]\nmachines = {}\nzones = 1\nregions = 0\n"
 
 
@@ -88,6 +91,72 @@
     assert read_version(fleet, (0, 1)) == "r2"
 
 
+def replace_in_order(fleet, old, new, overlap_ms, gap_ms):
+    """Machines at new addresses start; those that they replace end in order and stay away."""
+    for number in new:
+        fleet.start_core(number, False)
+    fleet.world.run(overlap_ms)
+    for number in old:
+        fleet.end_core(number)
+        fleet.world.run(gap_ms)
+    assert fleet.world.until(lambda: not any(map(fleet.running, old)), LEAVE_MS)
+
+
+# CONFIG on days that move the core: successors that started before the old machines left made seven
+# voters of five; the two that had left kept their seats for good, so that two lost disks of the rest
+# left three of seven, and no majority.
+@pytest.mark.parametrize(
+    "overlap_ms, gap_ms", [(5000, 1500), (5000, 0), (12000, 3000), (1000, 500)]
+)
+@pytest.mark.parametrize("leader_first", [True, False])
+def test_machines_that_were_replaced_hold_no_seat_that_lost_disks_need(
+    overlap_ms, gap_ms, leader_first
+):
+    fleet = fleet_of(5, 450)
+    leader = fleet.leaders()[0] - 1
+    others = [number for number in range(5) if number != leader]
+    old = [leader, others[0]] if leader_first else others[:2]
+    replace_in_order(fleet, old, (5, 6), overlap_ms, gap_ms)
+    fleet.world.run(SETTLED_MS)
+    rest = [number for number in range(7) if number not in old]
+    assert fleet.insist(rest, "replace", config(2, 1))[0] == 200
+    assert bears_lost_disks(fleet, rest, 2)
+    lose_all(fleet, rest, wiped=rest[:2])
+    fleet.world.run(RECOVERY_MS)
+    assert read_version(fleet, rest) == "r2"
+
+
+# The same, all five machines one pair after the other, as a move of the core does it.
+def test_a_core_that_has_moved_bears_what_it_bore_before():
+    fleet = fleet_of(5, 460)
+    for old, new in (((0, 1), (5, 6)), ((2, 3), (7, 8)), ((4,), (9,))):
+        replace_in_order(fleet, old, new, 6000, 1500)
+        fleet.world.run(SETTLED_MS)
+        rest = [number for number in fleet.stores if fleet.running(number)]
+        assert bears_lost_disks(fleet, rest, 2)
+    assert fleet.insist(rest, "replace", config(2, 1))[0] == 200
+    lose_all(fleet, rest, wiped=(6, 8))
+    fleet.world.run(RECOVERY_MS)
+    assert read_version(fleet, rest) == "r2"
+
+
+def bears_lost_disks(fleet, running, disks):
+    """True where the machines that run are a majority of the voters without so many of them."""
+    there = [number for number in fleet.voters() if number in running]
+    return len(there) - disks >= majority(len(fleet.voters()))
+
+
+def lose_all(fleet, numbers, wiped):
+    """All machines lose power at once, some of them their disks too, and start again."""
+    for number in numbers:
+        fleet.kill_core(number)
+    for number in wiped:
+        fleet.wipe(number)
+    fleet.world.run(1600)
+    for number in numbers:
+        fleet.start_core(number, False)
+
+
 @pytest.mark.parametrize(
     "voter, seen, lost",
     [
