Consensus: a voter that has departed keeps its seat only while nothing hangs on it (CONFIG)

Cause: for a while old machines and their successors live, so the group grew from five voters to seven; those that had ended in order were let go with their seats, and those seats were never given up: a group of seven is odd, wants no newcomer, and only lost disks or eight contactMs free a seat. Two lost disks left three of seven. Besides, a leaver was forgotten as long as gossip still called it up, so that another voter was removed in its stead. Class: a vote that is counted as coming back although its machine may have been replaced. Change: in a group larger than 2 x tolerance + 1 a departed voter is removed as soon as those that stay would be no majority after as many further losses as may come. It is safe, since no group gets smaller than that. Who has left is known by incarnation until it is back.

--- a/stagevale/consensus/reconfiguration.py
+++ b/stagevale/consensus/reconfiguration.py
@@ -7,7 +7,6 @@
 from stagevale.consensus.value import ReplicatedValue
 from stagevale.consensus.voter_id import address_of
 from stagevale.membership.member import Member, MemberState
-from stagevale.quorum.rules import majority
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 
@@ -46,8 +45,9 @@
         self.node = node
         self._away_since_ms: dict[str, float] = {}
         self._leaving: dict[str, Callable[[LeaveReply], None]] = {}
-        # Voters that have shut down in order, and keep their votes until others take them.
-        self._left: set[str] = set()
+        # Voters that have shut down in order, and keep their votes until others take them, with the
+        # incarnations that did; another one is the voter that is back.
+        self._left: dict[str, int | None] = {}
         self._inviting = False
         self._last_change_ms = 0.0
         self._avoid_until_ms: dict[str, float] = {}
@@ -57,7 +57,7 @@
         """A new leadership begins: nothing is known of who is away or leaves."""
         self._away_since_ms = {}
         self._leaving = {}
-        self._left = set()
+        self._left = {}
         self._inviting = False
         self._warned = False
 
@@ -140,8 +140,10 @@
             self._remove(departed[0] if departed else self._newest_other(group), group, now_ms)
         elif candidate is not None and (departed or len(group) < wanted):
             self._invite(candidate)
+        elif departed and not self._bears_further_losses(group, departed, live):
+            self._remove(departed[0], group, now_ms)
         elif departed and departed[0] in self._leaving:
-            self._release(departed[0], group, live, now_ms)
+            self._release(departed[0], now_ms)
         elif len(group) > wanted:
             self._remove_needless(departed, group, now_ms)
 
@@ -158,28 +160,38 @@
         """The voter that joined last and isn't this daemon."""
         return next(voter for voter in reversed(group) if address_of(voter) != self.node.address)
 
-    def _release(
-        self, leaver: str, group: tuple[str, ...], live: list[Member], now_ms: float
-    ) -> None:
-        """Lets a voter end whose vote nobody can take: it keeps it while the others are a majority
-        without it.
+    def _bears_further_losses(
+        self, group: tuple[str, ...], departed: list[str], live: list[Member]
+    ) -> bool:
+        """True where the voters that stay are a majority even without as many disks as may yet be
+        lost; and for a group that can't get smaller.
 
-        A smaller group would bear fewer lost disks, since the voter that comes back with its disk
-        would have no vote. Where the others are no majority, those that are away are removed first,
-        as long as the group stays large enough to lose as many disks as may be lost; else the
-        service rests until some are back.
+        A voter that has departed may never come back: its machine may have been replaced by one at
+        another address. In a group that is larger than need be it keeps its seat only as long as
+        nothing hangs on it.
         """
         node = self.node
-        present = {member.address for member in live} | {node.address}
-        gone = node.lost_disks | {leaver}
-        there = [voter for voter in group if address_of(voter) in present and voter not in gone]
-        may_shrink = len(group) > node.disk_rule.full_group
-        if len(there) >= majority(len(group)) or not may_shrink:
-            self._left.add(leaver)
-            self._let_go(leaver, now_ms + node.heartbeat_ms * AVOID_HEARTBEATS)
-            return
-        away = [voter for voter in group if voter not in there and voter != leaver]
-        self._remove(away[0] if away else leaver, group, now_ms)
+        if len(group) <= node.disk_rule.full_group:
+            return True
+        if departed[0] in self._leaving:
+            present = {member.address for member in live} | {node.address}
+            departed = [*departed, *(v for v in group if address_of(v) not in present)]
+        staying = [voter for voter in group if voter not in departed]
+        return node.disk_rule.bears_further(group, staying, node.lost_disks)
+
+    def _release(self, leaver: str, now_ms: float) -> None:
+        """Lets a voter end whose vote nobody can take: it keeps it.
+
+        A smaller group would bear fewer lost disks, since the voter that comes back with its disk
+        would have no vote. Where the others are no majority, the service rests until some are back.
+        """
+        self._left[leaver] = self._incarnation_of(leaver)
+        self._let_go(leaver, now_ms + self.node.heartbeat_ms * AVOID_HEARTBEATS)
+
+    def _incarnation_of(self, voter: str) -> int | None:
+        """The incarnation of the daemon at a voter's address; None where it is no member."""
+        member = self.node.membership.state.members.get(address_of(voter))
+        return member.uid if member is not None else None
 
     def _remove_needless(self, departed: list[str], group: tuple[str, ...], now_ms: float) -> None:
         """Removes a voter from a group that is larger than it need be: one whose disk was lost, or
@@ -219,17 +231,22 @@
         """
         node = self.node
         present = {member.address for member in live} | {node.address}
+        self._left = {
+            voter: uid
+            for voter, uid in self._left.items()
+            if voter in group
+            and (address_of(voter) not in present or uid == self._incarnation_of(voter))
+        }
         self._away_since_ms = {
             voter: self._away_since_ms.get(voter, now_ms)
             for voter in group
-            if address_of(voter) not in present
+            if address_of(voter) not in present or voter in self._left
         }
         lost_disks = node.lost_disks
         limit_ms = node.context.settings.bounds.contact_ms * GONE_SHARE
         gone = [
             voter for voter, since_ms in self._away_since_ms.items() if now_ms - since_ms > limit_ms
         ]
-        self._left &= self._away_since_ms.keys()
         first = [v for v in group if v in self._leaving or v in lost_disks]
         gone += [voter for voter in self._left if voter not in gone]
         return first + [voter for voter in gone if voter not in first]
--- a/stagevale/quorum/rules.py
+++ b/stagevale/quorum/rules.py
@@ -48,6 +48,20 @@
         """
         return max(majority(size), min(self.copies, size))
 
+    def bears_further(
+        self, group: Collection[str], staying: Collection[str], lost: Collection[str]
+    ) -> bool:
+        """True where those that stay are a majority after as many further losses as may come.
+
+        Args:
+            group: the members.
+            staying: those of them that are there, or will be back with their disks.
+            lost: whose disks are known to be lost; they count as some of those that may be.
+        """
+        known_lost = sum(member in lost for member in group)
+        may_come = max(0, self.tolerated - known_lost)
+        return len(staying) - may_come >= majority(len(group))
+
     def is_met(self, group: Collection[str], lost: Collection[str]) -> bool:
         """True where what a majority of this group has accepted may be acknowledged.
 
