Proxies: who feeds is chosen among registries that live, whatever the placement table says (CONFIG)

Cause: a proxy asked the feeders of the placement table first. The table changes at convergence only, which may not come for half a minute; members that are down or removed count as reachable, since the failure detector looks at others only. Where all three placed feeders were gone, a proxy went round them, 1.5 to 2 s each, while five live registries stood behind them in its list, and a change that was published meanwhile passed it by. Class: a decision that was made while machines lived, used when they are gone. Change: FeederChoice ranks candidates by what is known of them now: live, not met yet, leaving, just failed, unreachable, gone. A feeder that leaves is left while it still serves; after one that failed the next is tried at once.

--- a/stagevale/edge/feed_client.py
+++ b/stagevale/edge/feed_client.py
@@ -1,6 +1,5 @@
 """The proxy's subscription: it finds a registry to be fed by and changes it when that goes silent."""
 
-import os
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -11,10 +10,9 @@
     PullValue,
     SubscribeMessage,
 )
+from stagevale.edge.feeder_choice import FeederChoice
 from stagevale.edge.value_lag import ValueLag
 from stagevale.edge.value_reader import ValueReader
-from stagevale.membership.member import REGISTRY_PROGRAM
-from stagevale.placement.rule import feed_key
 from stagevale.rpc.kinds import MessageKind
 from stagevale.rpc.message import message_body
 from stagevale.rpc.transport import Reply
@@ -44,7 +42,7 @@
         feeder: address of the registry that feeds this proxy, or None.
         subscribed: it has answered.
         interval_ms: the length of a round.
-        avoid_until_ms: until when former feeders are avoided, by address.
+        choice: ranks the registries that may feed this proxy.
         lag: the values that this proxy has heard of and doesn't have.
         reader: asks others than the feeder for them.
     """
@@ -60,7 +58,7 @@
         "on_feed",
         "_feeder_heard_ms",
         "_feeder_since_ms",
-        "avoid_until_ms",
+        "choice",
         "lag",
         "reader",
         "_last_report_ms",
@@ -88,7 +86,7 @@
         self.reader = ValueReader(
             self.context, self.rpc, self.membership, self._longest_behind_ms(), self._on_value_read
         )
-        self.avoid_until_ms: dict[str, float] = {}
+        self.choice = FeederChoice(self.context, self.membership)
         self._last_report_ms = 0.0
         self._check_planned = False
         self.membership.on_newer_value = self._on_newer_value
@@ -102,37 +100,6 @@
 
     # the feeder
 
-    def _feeders(self) -> list[str]:
-        """Registries to be fed by: by the placement table, then by nearness, then the seeds; those
-        that are avoided or unreachable last.
-        """
-        settings = self.context.settings
-        members = sorted(
-            self.membership.members(REGISTRY_PROGRAM),
-            key=lambda member: (
-                member.zone != settings.zone,
-                member.region != settings.region,
-                member.address,
-            ),
-        )
-        # Machines of one zone have addresses that begin alike.
-        seeds = sorted(settings.seeds, key=lambda ip: -len(os.path.commonprefix((ip, settings.ip))))
-        addresses = list(self._placed())
-        addresses += [member.address for member in members]
-        addresses += [f"{ip}:{settings.inner_ports[0]}" for ip in seeds]
-        now_ms = self.context.now_ms()
-        return sorted(
-            dict.fromkeys(addresses),
-            key=lambda address: (
-                now_ms < self.avoid_until_ms.get(address, 0),
-                not self.membership.is_reachable(address),
-            ),
-        )
-
-    def _placed(self) -> tuple[str, ...]:
-        """The feeders of this zone by the placement table."""
-        return self.membership.state.table.get(feed_key(self.context.settings.zone), ())
-
     def _tick(self) -> None:
         """Renews the subscription, or looks for another feeder."""
         now_ms = self.context.now_ms()
@@ -152,38 +119,37 @@
             self._renew(self.feeder)
 
     def _find_feeder(self) -> None:
-        feeders = self._feeders()
-        if feeders:
+        feeder = self.choice.best()
+        if feeder is not None:
             snapshot = self.proxy.forwarder.snapshot
-            self._change_feeder(feeders[0], snapshot.serial if snapshot.hosts else NO_SERIAL)
+            self._change_feeder(feeder, snapshot.serial if snapshot.hosts else NO_SERIAL)
+
+    def _find_next_feeder(self) -> None:
+        """After a feeder has failed: the next is tried at once, but for one that has failed just
+        now.
+        """
+        feeder = self.choice.best()
+        if self.feeder is None and feeder is not None and self.choice.is_usable(feeder):
+            self._find_feeder()
 
     def _change_feeder(self, feeder: str, serial: int) -> None:
         self.feeder = feeder
+        self.subscribed = False
         self._feeder_heard_ms = self._feeder_since_ms = self.context.now_ms()
         self.subscribe(min(serial, NO_SERIAL))
         self.proxy.report_usage(True)
 
     def _renew(self, feeder: str) -> None:
         """Renews the subscription, or changes to a registry that is to be preferred by now."""
-        best = self._feeders()[0]
-        if best != feeder and self.subscribed and self._is_preferred(best, feeder):
-            self.rpc.send(feeder, MessageKind.UNSUBSCRIBE, [])
+        best = self.choice.best()
+        if best is not None and best != feeder and self._may_leave(best, feeder):
             self._change_feeder(best, self.proxy.forwarder.snapshot.serial)
+            self.rpc.send(feeder, MessageKind.UNSUBSCRIBE, [])
         else:
             self.renew()
 
-    def _is_preferred(self, best: str, feeder: str) -> bool:
-        placed = self._placed()
-        if placed:
-            return best in placed and feeder not in placed
-        # Before there is a table: a registry of the own zone goes over one of another.
-        members = self.membership.state.members
-        zone = self.context.settings.zone
-        return (
-            best in members
-            and members[best].zone == zone
-            and (feeder not in members or members[feeder].zone != zone)
-        )
+    def _may_leave(self, best: str, feeder: str) -> bool:
+        return self.subscribed and self.choice.is_preferred(best, feeder)
 
     def renew(self) -> None:
         """Renews the subscription, if there is one: the feeder learns whether this proxy is ready."""
@@ -226,9 +192,10 @@
         if feeder is None:
             return
         self.context.log.info("proxy: feeder %s is dropped: %s.", feeder, reason)
-        self.avoid_until_ms[feeder] = self.context.now_ms() + self.interval_ms * AVOID_ROUNDS
+        self.choice.avoid(feeder, self.interval_ms * AVOID_ROUNDS)
         self.subscribed = False
         self.rpc.close_connections(feeder)
+        self.context.call_soon(self._find_next_feeder)
 
     def _on_peer_lost(self, peer: str) -> None:
         if peer == self.feeder:
@@ -290,7 +257,6 @@
         if self.feeder is None or not had_time:
             return
         self.drop_feeder(f"version {self.lag.newest_heard} has not come for {behind_ms:.0f} ms")
-        self._find_feeder()
 
     def _on_value_read(self, encoded: bytes) -> None:
         """Another registry than the feeder has told its value."""
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -409,9 +409,8 @@
     for number in (0, 1, 2):
         feeder = int(days.fleet.proxies[number].feed.feeder.split(":")[0].split(".")[-1]) - 1
         days.fleet.proxies[number].feed.drop_feeder("the test wants another")
-        days.fleet.proxies[number].feed.avoid_until_ms[
-            days.fleet.registries[feeder].rpc.address
-        ] = 1e12
+        avoided = days.fleet.registries[feeder].rpc.address
+        days.fleet.proxies[number].feed.choice.avoid(avoided, 1e12)
         days.world.run(1500)
     days.world.run(16000)
     days.near(days.platform.check(), 0.01)
