Proxies: a proxy that isn't fed asks registries whether its value is the newest (CONFIG)

Change: the word of a feeder in touch holds for one and a half rounds. The question names the serial that it has, and the answer is empty where there is nothing newer, so asking costs a few bytes at any size of the value; a registry of the release before answers whole, as it did. Metric: configuration_seconds{of="unfed"}.

--- a/stagevale/daemons/proxy.py
+++ b/stagevale/daemons/proxy.py
@@ -94,6 +94,7 @@
         ages_s = {
             "behind what it heard of": lambda: lag.behind_ms(context.now_ms()) / MS_PER_S,
             "longest behind": lambda: lag.longest_ms / MS_PER_S,
+            "unfed": lambda: self.feed.unfed_ms() / MS_PER_S,
         }
         context.metrics.add_configuration(lambda: self.forwarder.snapshot.serial, ages_s)
 
--- a/stagevale/discovery/configuration_client.py
+++ b/stagevale/discovery/configuration_client.py
@@ -10,6 +10,7 @@
 from stagevale.consensus.commands import CommandReply, CommandRequest, ReadValueRequest
 from stagevale.consensus.messages import LeaderHeartbeat
 from stagevale.consensus.voter_id import address_of
+from stagevale.discovery.messages import ReadNewerValue
 from stagevale.membership.member import STORE_PORT_OFFSET, STORE_PROGRAM
 from stagevale.metrics.recovery import RecoveryStep, record_recovery
 from stagevale.partners.table import NO_PARTNERS, table_of
@@ -133,7 +134,7 @@
         self._pulling = False
         self.rpc.handle(MessageKind.COMMITTED_VALUE, CommittedValue, self._on_committed)
         self.rpc.handle(MessageKind.LEADER_HEARTBEAT, LeaderHeartbeat, self._on_heartbeat)
-        self.rpc.handle_raw(MessageKind.READ_VALUE, self._on_read_value)
+        self.rpc.handle(MessageKind.READ_VALUE, ReadNewerValue, self._on_read_value)
         self.membership.on_newer_value = self._on_newer_value
 
     @property
@@ -225,8 +226,9 @@
         if encoded:
             self._take(read_configuration_value(encoded))
 
-    def _on_read_value(self, peer: str, body: Any, reply: Reply) -> None:
-        reply(self.value.encoded if self.value is not None else b"")
+    def _on_read_value(self, peer: str, message: ReadNewerValue, reply: Reply) -> None:
+        value = self.value
+        reply(value.encoded if value is not None and value.serial > message.serial else b"")
 
     def pull_value(self, on_done: Callable[[bool], object] | None = None) -> None:
         """Reads the value from the stores, confirmed by a majority.
--- a/stagevale/discovery/messages.py
+++ b/stagevale/discovery/messages.py
@@ -124,6 +124,17 @@
     agreed_ms: int | None = None
 
 
+class ReadNewerValue(NamedTuple):
+    """A daemon asks a registry for its configuration value; the reply is empty where that isn't newer
+    than what the daemon has.
+
+    Attributes:
+        serial: of the value that the daemon has; negative for none.
+    """
+
+    serial: int = -1
+
+
 class PullValue(NamedTuple):
     """A proxy asks for a newer configuration value than this serial."""
 
--- a/stagevale/edge/feed_client.py
+++ b/stagevale/edge/feed_client.py
@@ -29,6 +29,8 @@
 SILENT_ROUNDS = 1.6
 AVOID_ROUNDS = 4
 REPORT_ROUNDS = 3.5
+# In rounds: how long a value counts as the newest after a feeder has last said so.
+FRESH_ROUNDS = 1.5
 # A feeder that hasn't brought a value for this share of `applyMs`, although it was asked for it, is
 # changed for another one, at most once in so many rounds.
 BEHIND_SHARE = 0.2
@@ -58,6 +60,7 @@
         "on_feed",
         "_feeder_heard_ms",
         "_feeder_since_ms",
+        "_fed_ms",
         "choice",
         "lag",
         "reader",
@@ -82,6 +85,7 @@
         self.interval_ms = proxy.context.settings.bounds.contact_ms / ROUNDS_PER_CONTACT
         self._feeder_heard_ms = 0.0
         self._feeder_since_ms = 0.0
+        self._fed_ms = proxy.context.now_ms()
         self.lag = ValueLag()
         self.reader = ValueReader(
             self.context, self.rpc, self.membership, self._longest_behind_ms(), self._on_value_read
@@ -117,6 +121,7 @@
             self._find_feeder()
         else:
             self._renew(self.feeder)
+        self._read_while_unfed(now_ms)
 
     def _find_feeder(self) -> None:
         feeder = self.choice.best()
@@ -215,6 +220,7 @@
             self.rpc.send(peer, MessageKind.UNSUBSCRIBE, [])
             self.drop_feeder("it is out of touch with the core")
             return
+        self._fed_ms = self._feeder_heard_ms
         self.pull_if_newer(heartbeat.serial)
 
     def _on_newer_value(self, sender: str, serial: int) -> None:
@@ -231,6 +237,19 @@
             self.rpc.send(self.feeder, MessageKind.PULL_VALUE, PullValue(own_serial))
         self._plan_check()
 
+    def unfed_ms(self) -> float:
+        """For how long no feeder that is in touch with the core has named the newest serial."""
+        return self.context.now_ms() - self._fed_ms
+
+    def _read_while_unfed(self, now_ms: float) -> None:
+        """Asks registries for the value while nobody feeds this proxy: it may be old, and this proxy
+        hears of a newer one by chance only.
+        """
+        if now_ms - self._fed_ms < self.interval_ms * FRESH_ROUNDS:
+            return
+        if self.proxy.forwarder.snapshot.hosts:
+            self.reader.read(self.feeder)
+
     def _longest_behind_ms(self) -> float:
         return self.context.settings.bounds.apply_ms * BEHIND_SHARE
 
--- a/stagevale/edge/value_reader.py
+++ b/stagevale/edge/value_reader.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from stagevale.discovery.messages import ReadNewerValue
 from stagevale.membership.member import REGISTRY_PROGRAM, Member
 from stagevale.membership.membership import Membership
 from stagevale.rpc.errors import RequestError
@@ -113,10 +114,14 @@
     def _ask(self, member: Member) -> None:
         self._asked_ms[member.address] = self.context.now_ms()
 
-        def replied(encoded: bytes | None, _error: RequestError | None) -> None:
+        def replied(encoded: bytes | None, error: RequestError | None) -> None:
             if encoded:
                 self._on_value(encoded)
+            elif error is None:
+                # It has nothing newer, and said so in a few bytes: no reason to ask less often.
+                self._reads = 0
 
+        message = ReadNewerValue(self.membership.value_serial)
         self.rpc.request(
-            member.address, MessageKind.READ_VALUE, [], bytes, replied, self._pause_ms()
+            member.address, MessageKind.READ_VALUE, message, bytes, replied, self._pause_ms()
         )
--- a/tests/test_feeders.py
+++ b/tests/test_feeders.py
@@ -4,7 +4,10 @@
 from test_register import config
 from test_registrations import formed
 
+from stagevale.discovery.messages import ReadNewerValue
+from stagevale.edge.feed_client import FeedClient
 from stagevale.membership.member import MemberState
+from stagevale.rpc.kinds import MessageKind
 
 APPLY_MS = 2500
 CORE = 9
@@ -97,3 +100,39 @@
     )
     assert fed
     assert fleet.registries[leaver].context.alive
+
+
+# A proxy that nobody fed, and to which nobody named a newer serial, didn't know that its value was old.
+@pytest.mark.parametrize("wait_ms", [1, 2500, 20000])
+def test_a_proxy_that_is_neither_fed_nor_told_reads_the_value_itself(monkeypatch, wait_ms):
+    fleet = formed(143, 6)
+    proxy = fleet.proxies[0]
+    monkeypatch.setattr(FeedClient, "subscribe", lambda _feed, _serial: None)
+    proxy.membership.on_newer_value = None
+    # Those that fed it forget it.
+    fleet.world.run(2 * APPLY_MS + wait_ms)
+    assert fleet.insist([0], "replace", config(2, 1))[0] == 200
+    fleet.world.run(APPLY_MS)
+    newest = max(registry.service.configuration.serial for registry in fleet.registries.values())
+    assert proxy.forwarder.snapshot.serial == newest
+
+
+# Whoever asks for a value that it has gets a few bytes, however large the value is.
+def test_a_registry_sends_its_value_only_where_it_is_newer():
+    fleet = formed(144, 1)
+    proxy, registry = fleet.proxies[0], fleet.registries[0]
+    serial = registry.service.configuration.serial
+    got = []
+    for known in (serial, serial + 1, serial - 1, -1):
+        fleet.world.run(50)
+        proxy.rpc.request(
+            registry.rpc.address,
+            MessageKind.READ_VALUE,
+            ReadNewerValue(known),
+            bytes,
+            lambda encoded, _error: got.append(len(encoded)),
+            500,
+        )
+    fleet.world.run(500)
+    whole = len(registry.service.configuration.value.encoded)
+    assert got == [0, 0, whole, whole]
