Membership: placement on members that are down is taken back without waiting for convergence (DRAIN, Acks)

The same class as the faults of the feeders: the placement table, which changes at convergence only, went on naming registries that were down. Change: the leader, which already marks members down before convergence, changes the placement with that, where the table names somebody who is down. Only a majority of the core can mark down, so a minority's leader changes nothing. docs/design.md has the exception.

--- a/stagevale/membership/leader_actions.py
+++ b/stagevale/membership/leader_actions.py
@@ -12,6 +12,10 @@
     from stagevale.membership.membership import Membership
 
 
+# Members in these states keep no shard and feed nobody.
+GONE_STATES = (MemberState.DOWN, MemberState.REMOVED)
+
+
 class Placement(NamedTuple):
     """A placement table and the handoffs that lead to the next one."""
 
@@ -36,8 +40,8 @@
         self.placement_rule: PlacementRule | None = None
 
     def run(self, converged: bool, now_ms: float) -> None:
-        """Does what is due where this daemon is the leader: members change their state at
-        convergence only, but for those that are marked down.
+        """Does what is due where this daemon is the leader: members and placement change at
+        convergence only, but for members that are marked down and what is placed on them.
         """
         membership = self.membership
         if membership.leader() != membership.me.address:
@@ -45,11 +49,41 @@
         if converged:
             self._change_members_and_placement(now_ms)
             return
-        members = membership.downing.members_with_downed()
-        if members is not None:
+        self._mark_down_and_replace_the_gone()
+
+    def _mark_down_and_replace_the_gone(self) -> None:
+        """Without convergence: marks down whom a majority of the core can't reach, and takes them
+        out of the placement.
+
+        The Akka Cluster Specification leaves placement to convergence as well; see `docs/design.md`
+        for why this doesn't wait for it.
+        """
+        membership = self.membership
+        state = membership.state
+        downed = membership.downing.members_with_downed()
+        members = downed if downed is not None else state.members
+        placement = self._placement_without_the_gone(members)
+        if placement is not None:
             membership.apply_own_change(
-                membership.state.changed(membership.me.address, members=members)
+                state.changed(
+                    membership.me.address,
+                    members=members,
+                    table_version=state.table_version + 1,
+                    table=placement.table,
+                    handoffs=placement.handoffs,
+                )
             )
+        elif downed is not None:
+            membership.apply_own_change(state.changed(membership.me.address, members=downed))
+
+    def _placement_without_the_gone(self, members: dict[str, Member]) -> Placement | None:
+        """The next placement, where the table names members that are gone; else None."""
+        state = self.membership.state
+        placed = {address for group in state.table.values() for address in group}
+        gone = {address for address, member in members.items() if member.state in GONE_STATES}
+        if self.placement_rule is None or placed.isdisjoint(gone):
+            return None
+        return self.placement_rule(members, state.table, state.handoffs)
 
     def _change_members_and_placement(self, now_ms: float) -> None:
         membership = self.membership
--- a/tests/test_feeders.py
+++ b/tests/test_feeders.py
@@ -1,16 +1,21 @@
 """A proxy finds a feeder that lives, whatever the placement table says."""
 
 import pytest
+from support.fleet import number_of
 from test_register import config
-from test_registrations import formed
+from test_registrations import beat_of, formed, heartbeat, known
 
 from stagevale.discovery.messages import ReadNewerValue
 from stagevale.edge.feed_client import FeedClient
 from stagevale.membership.member import MemberState
+from stagevale.membership.membership import Membership
+from stagevale.placement.shards import shard_of
 from stagevale.rpc.kinds import MessageKind
 
 APPLY_MS = 2500
 CORE = 9
+# The failure detector's suspicion, reports of a majority, and the leader's next rounds.
+MARKED_DOWN_MS = 15000
 # The machines that feed the proxies of zone a1, by the placement table.
 PLACED = (0, 3, 6)
 
@@ -123,12 +128,12 @@
     proxy, registry = fleet.proxies[0], fleet.registries[0]
     serial = registry.service.configuration.serial
     got = []
-    for known in (serial, serial + 1, serial - 1, -1):
+    for held in (serial, serial + 1, serial - 1, -1):
         fleet.world.run(50)
         proxy.rpc.request(
             registry.rpc.address,
             MessageKind.READ_VALUE,
-            ReadNewerValue(known),
+            ReadNewerValue(held),
             bytes,
             lambda encoded, _error: got.append(len(encoded)),
             500,
@@ -136,3 +141,24 @@
     fleet.world.run(500)
     whole = len(registry.service.configuration.value.encoded)
     assert got == [0, 0, whole, whole]
+
+
+# The same fault for endpoints: shards stayed with registries that were gone as long as the members
+# didn't converge; nobody owned such a shard, and each drain of its endpoints was answered 503.
+def test_a_drain_is_acknowledged_though_its_replicas_are_gone_and_members_do_not_converge(
+    monkeypatch,
+):
+    fleet = formed(145, 6, core=CORE)
+    table = fleet.registries[1].membership.state.table
+    shard = shard_of("s")
+    gone = [number_of(address) for address in table[shard]]
+    monkeypatch.setattr(Membership, "is_converged", lambda _membership: False)
+    lose_machines(fleet, gone)
+    fleet.world.run(MARKED_DOWN_MS)
+    rest = [number for number in range(CORE) if number not in gone]
+    assert heartbeat(fleet, rest[0], "i-1", beat_of("i-1")) == 200
+    assert fleet.world.until(lambda: all(known(fleet, "i-1")), APPLY_MS)
+    assert heartbeat(fleet, rest[1], "i-1", beat_of("i-1", "draining", 2)) == 200
+    tables = [fleet.registries[number].membership.state.table for number in rest]
+    placed = {number_of(each) for table in tables for group in table.values() for each in group}
+    assert placed.isdisjoint(gone)
