Consensus: only a voter that has left in order gives its seat up at once (CONFIG)

Change: what gives its seat up is known to have left: by its own word to the leader, or exiting or removed by gossip. Those that are down for another reason keep theirs and are replaced last. A leaver is removed, too, where the voters that are present would be no majority without it, as before. Evidence: tests/quorum_model.py has machines that leave for good (MovingModel): 300 walks each of (5, 1), (6, 1), (8, 2) hold; with the seats kept both platforms tried are found wrong.

--- a/stagevale/consensus/reconfiguration.py
+++ b/stagevale/consensus/reconfiguration.py
@@ -7,6 +7,7 @@
 from stagevale.consensus.value import ReplicatedValue
 from stagevale.consensus.voter_id import address_of
 from stagevale.membership.member import Member, MemberState
+from stagevale.quorum.rules import majority
 from stagevale.rpc.errors import RequestError
 from stagevale.rpc.kinds import MessageKind
 
@@ -18,6 +19,7 @@
 # In `contactMs`: how long a voter is away until another daemon may take its place.
 GONE_SHARE = 1.25
 LARGEST_GROUP = 9
+LEFT_STATES = (MemberState.EXITING, MemberState.REMOVED)
 # For how many heartbeat intervals a daemon that left, or didn't answer, isn't invited again.
 AVOID_HEARTBEATS = 2.0
 # In request time-outs: how soon a voter asks again to be removed, and how long it waits for that.
@@ -140,7 +142,7 @@
             self._remove(departed[0] if departed else self._newest_other(group), group, now_ms)
         elif candidate is not None and (departed or len(group) < wanted):
             self._invite(candidate)
-        elif departed and not self._bears_further_losses(group, departed, live):
+        elif departed and self._has_to_give_a_seat_up(group, live):
             self._remove(departed[0], group, now_ms)
         elif departed and departed[0] in self._leaving:
             self._release(departed[0], now_ms)
@@ -160,24 +162,29 @@
         """The voter that joined last and isn't this daemon."""
         return next(voter for voter in reversed(group) if address_of(voter) != self.node.address)
 
-    def _bears_further_losses(
-        self, group: tuple[str, ...], departed: list[str], live: list[Member]
-    ) -> bool:
-        """True where the voters that stay are a majority even without as many disks as may yet be
-        lost; and for a group that can't get smaller.
+    def _has_to_give_a_seat_up(self, group: tuple[str, ...], live: list[Member]) -> bool:
+        """True where a voter that leaves, or has left, can't keep its seat.
 
-        A voter that has departed may never come back: its machine may have been replaced by one at
-        another address. In a group that is larger than need be it keeps its seat only as long as
-        nothing hangs on it.
+        It may never come back: its machine may have been replaced by one at another address. In a
+        group that is larger than need be it keeps the seat only while those that stay are a majority
+        without it, even after as many further losses as may come. Voters that are away for another
+        reason stay: they are back with their disks.
         """
         node = self.node
         if len(group) <= node.disk_rule.full_group:
+            return False
+        gone = {voter for voter in group if voter in self._leaving or self._has_left(voter)}
+        staying = [voter for voter in group if voter not in gone | node.lost_disks]
+        if gone and not node.disk_rule.bears_further(group, staying, node.lost_disks):
             return True
-        if departed[0] in self._leaving:
-            present = {member.address for member in live} | {node.address}
-            departed = [*departed, *(v for v in group if address_of(v) not in present)]
-        staying = [voter for voter in group if voter not in departed]
-        return node.disk_rule.bears_further(group, staying, node.lost_disks)
+        present = {member.address for member in live} | {node.address}
+        there = [voter for voter in staying if address_of(voter) in present]
+        return bool(gone & self._leaving.keys()) and len(there) < majority(len(group))
+
+    def _has_left(self, voter: str) -> bool:
+        """True for a voter that has shut down in order and isn't back."""
+        member = self.node.membership.state.members.get(address_of(voter))
+        return voter in self._left or (member is not None and member.state in LEFT_STATES)
 
     def _release(self, leaver: str, now_ms: float) -> None:
         """Lets a voter end whose vote nobody can take: it keeps it.
@@ -227,7 +234,7 @@
 
     def _departed(self, group: tuple[str, ...], live: list[Member], now_ms: float) -> list[str]:
         """Voters that are to be replaced: those that leave or lost their disk first, then those
-        that have left, or have been away for long.
+        that have left, then those that have been away for long, which may be back.
         """
         node = self.node
         present = {member.address for member in live} | {node.address}
@@ -248,7 +255,7 @@
             voter for voter, since_ms in self._away_since_ms.items() if now_ms - since_ms > limit_ms
         ]
         first = [v for v in group if v in self._leaving or v in lost_disks]
-        gone += [voter for voter in self._left if voter not in gone]
+        first += [v for v in group if v not in first and self._has_left(v)]
         return first + [voter for voter in gone if voter not in first]
 
     def _candidate(
--- a/tests/quorum_model.py
+++ b/tests/quorum_model.py
@@ -49,6 +49,9 @@
     leaders: tuple
     acknowledged: int
     lost: int
+    # Machines that have left for good, and how many of them still count as lost.
+    gone: tuple = ()
+    unsettled: int = 0
 
 
 class WrongError(Exception):
@@ -235,7 +238,10 @@
         """Were all machines up now, one of them could be elected with all that was acknowledged."""
         if state.acknowledged == 0:
             return
-        disks = tuple(disk._replace(is_up=True) for disk in state.disks)
+        disks = tuple(
+            disk._replace(is_up=address not in state.gone)
+            for address, disk in enumerate(state.disks)
+        )
         state = state._replace(disks=disks, leaders=(None,) * self.machines)
         for _ in range(self.machines + 1):
             for address in range(self.machines):
@@ -255,6 +261,68 @@
         raise WrongError("nobody could be elected")
 
 
+class MovingModel(Model):
+    """Machines leave for good, while others are there to take their seats; the group grows to what
+    the machines can man. A machine that left counts as lost until the leader has found no more to do
+    with all others there, which are as many as a full group has.
+
+    Attributes:
+        keeps_departed_seats: a guard taken out: a voter that has departed keeps its seat.
+    """
+
+    def __init__(self, machines, tolerated, most_content=1):
+        super().__init__(machines, tolerated, most_content)
+        self.keeps_departed_seats = False
+
+    def machine_steps(self, state, address):
+        if address in state.gone:
+            return
+        may_strike = state.lost + state.unsettled < self.rule.tolerated
+        for after in super().machine_steps(state, address):
+            if after.lost == state.lost or may_strike:
+                yield after
+        left = self.machines - len(state.gone)
+        if state.disks[address].is_up and may_strike and left > self.rule.full_group:
+            disk = state.disks[address]._replace(is_up=False)
+            after = with_disk(with_leader(state, address, None), address, disk)
+            yield after._replace(gone=(*state.gone, address), unsettled=state.unsettled + 1)
+
+    def next_groups(self, state, group):
+        there = self.there(state, group)
+        absent = [voter for voter in group if voter not in there]
+        departed = [voter for voter in absent if voter[0] in state.gone]
+        seated = {address for address, _ in there}
+        up = [address for address, disk in enumerate(state.disks) if disk.is_up]
+        free = [(each, state.disks[each].number) for each in up if each not in seated]
+        wanted = max(self.rule.full_group, 2 * ((max(len(up), 1) - 1) // 2) + 1)
+        is_large = len(group) > self.rule.full_group
+        if is_large and len(group) % 2 == 0 and (absent or len(group) > wanted):
+            going = departed or absent or group[-1:]
+        elif free and (absent or len(group) < wanted):
+            return [(*group, newcomer) for newcomer in free]
+        elif is_large and departed and not self.bears(state, group, departed):
+            going = departed
+        else:
+            going = []
+        return [tuple(voter for voter in group if voter != each) for each in going]
+
+    def bears(self, state, group, departed):
+        lost = self.lost_in(state, group)
+        staying = [voter for voter in group if voter not in departed and voter not in lost]
+        return self.keeps_departed_seats or self.rule.bears_further(group, staying, lost)
+
+    def accepted(self, state, address, value):
+        for after in super().accepted(state, address, value):
+            yield after._replace(unsettled=0) if self.is_settled(after, address) else after
+
+    def is_settled(self, state, address):
+        leader = state.leaders[address]
+        up = [each for each, disk in enumerate(state.disks) if disk.is_up]
+        all_there = len(up) == self.machines - len(state.gone) >= self.rule.full_group
+        done = leader is not None and leader.committed
+        return done and all_there and not self.next_groups(state, leader.value.group)
+
+
 def position_of(disk):
     """How new a disk's accepted value is."""
     return (disk.accepted_under, disk.value.serial if disk.value is not None else -1)
@@ -344,6 +412,17 @@
     return largest(model.accepted(state, 0, value._replace(serial=value.serial + 1, content=1)))
 
 
+def grown(model):
+    """The settled state with as large a group as the machines can man."""
+    state = settled(model)
+    while model.next_groups(state, state.leaders[0].value.group):
+        value = state.leaders[0].value
+        group = model.next_groups(state, value.group)[0]
+        proposal = value._replace(serial=value.serial + 1, group=group)
+        state = largest(model.accepted(state, 0, proposal))
+    return state
+
+
 def largest(states):
     """The last of the outcomes: everybody has accepted."""
     *_, last = states
@@ -360,6 +439,11 @@
         for seed in range(first, last):
             walk(model, seed, steps)
         print(f"{machines} machines, tolerance {tolerated}: {last - first} walks held", flush=True)
+    for machines, tolerated in ((5, 1), (6, 1), (8, 2)):
+        model = MovingModel(machines, tolerated, most_content=3)
+        for seed in range(first, last):
+            walk(model, seed, steps, grown(model))
+        print(f"{machines} machines that move, tolerance {tolerated}: held", flush=True)
     for machines, tolerated, depth in ((3, 1, int(sys.argv[4])), (5, 2, int(sys.argv[4]) - 1)):
         model = Model(machines, tolerated, most_content=2)
         count = explore(model, depth, settled(model))
--- a/tests/test_quorum_model.py
+++ b/tests/test_quorum_model.py
@@ -3,15 +3,15 @@
 """
 
 import pytest
-from quorum_model import Model, WrongError, explore, settled, walk
+from quorum_model import Model, MovingModel, WrongError, explore, grown, settled, walk
 
 WALKS, STEPS = 300, 80
 PLATFORMS = [(3, 1), (4, 1), (5, 1), (5, 2), (6, 2)]
 
 
-def walk_all(model, seeds):
+def walk_all(model, seeds, start=None):
     for seed in seeds:
-        walk(model, seed, STEPS)
+        walk(model, seed, STEPS, start)
 
 
 @pytest.mark.parametrize("machines, tolerated", PLATFORMS)
@@ -51,3 +51,21 @@
     model.survivors_decide = model.gives_seats_up = True
     with pytest.raises(WrongError, match="would be elected"):
         walk_all(model, range(785, 795))
+
+
+@pytest.mark.parametrize("machines, tolerated", [(5, 1), (6, 1), (8, 2)])
+def test_random_walks_of_machines_that_leave_for_good_lose_nothing_acknowledged(
+    machines, tolerated
+):
+    model = MovingModel(machines, tolerated, most_content=3)
+    walk_all(model, range(WALKS), grown(model))
+
+
+# CONFIG on days that move the core: machines that had left kept seats of a group that had grown.
+@pytest.mark.parametrize("machines, tolerated", [(5, 1), (8, 2)])
+def test_seats_that_departed_voters_keep_are_found(machines, tolerated):
+    model = MovingModel(machines, tolerated, most_content=3)
+    start = grown(model)
+    model.keeps_departed_seats = True
+    with pytest.raises(WrongError, match="nobody could be elected"):
+        walk_all(model, range(WALKS), start)
