--- a/stagevale/edge/feeder_choice.py
+++ b/stagevale/edge/feeder_choice.py
@@ -73,9 +73,8 @@
         return min(candidates, key=self._rank)
 
     def _rank(self, address: str) -> tuple[Standing, float]:
-        standing = self.standing(address)
-        avoided = standing == Standing.AVOIDED
-        return standing, self._avoid_until_ms[address] if avoided else 0.0
+        until_ms = self._avoid_until_ms.get(address, 0.0)
+        return self.standing(address), until_ms if self.context.now_ms() < until_ms else 0.0
 
     def is_usable(self, address: str) -> bool:
         """True for a registry that may be tried at once: nothing speaks against it."""
--- a/tests/test_feeders.py
+++ b/tests/test_feeders.py
@@ -71,6 +71,18 @@
         assert set(feeds(fleet).values()).isdisjoint({None, *PLACED})
 
 
+# A proxy that suspects all registries went back to the first of them for as long as it did.
+def test_a_proxy_that_suspects_all_registries_tries_one_after_the_other(monkeypatch):
+    fleet = frozen_placement(146, 3)
+    monkeypatch.setattr(
+        Membership, "is_reachable", lambda membership, _address: membership.me.is_core
+    )
+    lose_machines(fleet, PLACED)
+    assert fleet.world.until(
+        lambda: set(feeds(fleet).values()).isdisjoint({None, *PLACED}), 2 * APPLY_MS
+    )
+
+
 def mark_members(fleet, numbers, state):
     """A daemon marks all daemons of some machines, and tells the others by gossip."""
     membership = fleet.registries[1].membership
