--- a/stagevale/edge/feed_client.py
+++ b/stagevale/edge/feed_client.py
@@ -121,7 +121,7 @@
             self._find_feeder()
         else:
             self._renew(self.feeder)
-        self._read_while_unfed(now_ms)
+        self._read_while_unfed()
 
     def _find_feeder(self) -> None:
         feeder = self.choice.best()
@@ -241,13 +241,12 @@
         """For how long no feeder that is in touch with the core has named the newest serial."""
         return self.context.now_ms() - self._fed_ms
 
-    def _read_while_unfed(self, now_ms: float) -> None:
+    def _read_while_unfed(self) -> None:
         """Asks registries for the value while nobody feeds this proxy: it may be old, and this proxy
         hears of a newer one by chance only.
         """
-        if now_ms - self._fed_ms < self.interval_ms * FRESH_ROUNDS:
-            return
-        if self.proxy.forwarder.snapshot.hosts:
+        is_unfed = self.unfed_ms() >= self.interval_ms * FRESH_ROUNDS
+        if is_unfed and self.proxy.forwarder.snapshot.hosts:
             self.reader.read(self.feeder)
 
     def _longest_behind_ms(self) -> float:
--- a/stagevale/edge/feeder_choice.py
+++ b/stagevale/edge/feeder_choice.py
@@ -33,8 +33,8 @@
 class FeederChoice:
     """Ranks the registries that may feed this proxy.
 
-    The placement table names who is placed, and is changed at convergence only: that a registry
-    lives is asked of the members.
+    The placement table names who is placed, and may be older than the end of one of them: that a
+    registry lives is asked of the members.
     """
 
     __slots__ = ("context", "membership", "_avoid_until_ms")
--- a/tests/test_feeders.py
+++ b/tests/test_feeders.py
@@ -50,7 +50,7 @@
     feed = fleet.proxies[number].feed
     if feed.feeder is None or not feed.subscribed:
         return None
-    return int(feed.feeder.partition(":")[0].rpartition(".")[2]) - 1
+    return number_of(feed.feeder)
 
 
 def feeds(fleet):
